--- /dev/null
+++ b/src/backends/fleet.cpp
@@ -0,0 +1,200 @@
+#include "backends/fleet.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackweir::backends {
+
+namespace {
+
+constexpr duration kHealthHalfLife = 3s; ///< a server that recovered is trusted within seconds
+
+constexpr double kMaxDelayMs = 8000;           ///< one stuck answer does not ban a server for long
+constexpr duration kFirstSuspicion = 600ms;    ///< half a heartbeat of the servers
+constexpr duration kLongestSuspicion = 3s;     ///< about when a dead server's announcement lapses
+constexpr double kPriorSuccesses = 2;          ///< weight of "healthy" before anything is known
+
+std::vector<server_pointer>::iterator Find(std::vector<server_pointer>& aServers,
+                                           const server_id& aId)
+{
+  return std::find_if(aServers.begin(), aServers.end(), [&aId](const server_pointer& aServer) {
+    return aServer->mAnnounced.mId == aId;
+  });
+}
+
+void Remove(fleet& aFleet, const server_id& aId)
+{
+  const auto found = aFleet.mServers.find(aId);
+  if (found == aFleet.mServers.end()) {
+    return;
+  }
+  found->second->mIsGone = true;
+  auto& servers = aFleet.mByService[found->second->mAnnounced.mService];
+  if (const auto position = Find(servers, aId); position != servers.end()) {
+    servers.erase(position);
+  }
+  aFleet.mServers.erase(found);
+}
+
+} // namespace
+
+double ValueAt(const fading& aFading, duration aHalfLife, time_point aNow)
+{
+  if (aFading.mValue == 0) {
+    return 0;
+  }
+  const double halves = std::chrono::duration<double>(aNow - aFading.mAt).count() /
+                        std::chrono::duration<double>(aHalfLife).count();
+  return aFading.mValue * std::exp2(-std::max(0.0, halves));
+}
+
+void Add(fading& aFading, double aAmount, duration aHalfLife, time_point aNow)
+{
+  aFading.mValue = ValueAt(aFading, aHalfLife, aNow) + aAmount;
+  aFading.mAt = aNow;
+}
+
+void Announce(fleet& aFleet, const announcement& aAnnouncement, time_point aNow)
+{
+  const auto known = aFleet.mServers.find(aAnnouncement.mId);
+  if (known != aFleet.mServers.end()) {
+    backend_server& server = *known->second;
+    const announcement& old = server.mAnnounced;
+    if (old.mBorn == aAnnouncement.mBorn && old.mAddress == aAnnouncement.mAddress &&
+        old.mService == aAnnouncement.mService && old.mVersion == aAnnouncement.mVersion) {
+      server.mAnnounced = aAnnouncement;
+      server.mMissingSince.reset();
+      server.mColdUntil = aNow + aAnnouncement.mColdRemaining;
+      return;
+    }
+    Remove(aFleet, aAnnouncement.mId);
+  }
+  auto server = std::make_shared<backend_server>();
+  server->mAnnounced = aAnnouncement;
+  server->mFirstSeen = aNow;
+  server->mColdUntil = aNow + aAnnouncement.mColdRemaining;
+  auto& servers = aFleet.mByService[aAnnouncement.mService];
+  const auto position = std::find_if(servers.begin(), servers.end(), [&](const auto& aOther) {
+    return aAnnouncement.mId < aOther->mAnnounced.mId;
+  });
+  servers.insert(position, server);
+  aFleet.mServers.emplace(aAnnouncement.mId, std::move(server));
+  aFleet.mVersions.try_emplace({ aAnnouncement.mService, aAnnouncement.mVersion }, aNow);
+}
+
+void Withdraw(fleet& aFleet, const server_id& aId, bool aKeep, time_point aNow)
+{
+  const auto found = aFleet.mServers.find(aId);
+  if (found == aFleet.mServers.end()) {
+    return;
+  }
+  // A server that was leaving did not lapse: it is gone as announced.
+  if (aKeep && !found->second->mAnnounced.mIsLeaving) {
+    if (!found->second->mMissingSince) {
+      found->second->mMissingSince = aNow;
+    }
+    return;
+  }
+  Remove(aFleet, aId);
+}
+
+std::vector<server_id> DropMissing(fleet& aFleet, time_point aBefore)
+{
+  std::vector<server_id> dropped;
+  for (const auto& [id, server] : aFleet.mServers) {
+    if (server->mMissingSince && *server->mMissingSince < aBefore) {
+      dropped.push_back(id);
+    }
+  }
+  for (const server_id& id : dropped) {
+    Remove(aFleet, id);
+  }
+  return dropped;
+}
+
+const std::vector<server_pointer>& ServersOf(const fleet& aFleet, const service_id& aService)
+{
+  static const std::vector<server_pointer> kNone;
+  const auto found = aFleet.mByService.find(aService);
+  return found == aFleet.mByService.end() ? kNone : found->second;
+}
+
+bool IsCold(const backend_server& aServer, time_point aNow)
+{
+  return aNow < aServer.mColdUntil;
+}
+
+void RecordEnd(backend_server& aServer, attempt_end aEnd, duration aDelay, time_point aNow)
+{
+  switch (aEnd) {
+    case attempt_end::Served:
+      Add(aServer.mSuccesses, 1, kHealthHalfLife, aNow);
+      aServer.mSuspicions = 0;
+      aServer.mSuspectUntil = {};
+      break;
+    case attempt_end::Failed:
+    case attempt_end::Broken:
+    case attempt_end::Silent:
+      Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
+      break;
+    case attempt_end::Full:
+      Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
+      break;
+    case attempt_end::Unreachable:
+    case attempt_end::WrongServer:
+      Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
+      aServer.mSuspectUntil =
+        aNow + std::min(kLongestSuspicion, kFirstSuspicion * (1 << std::min(aServer.mSuspicions, 3)));
+      ++aServer.mSuspicions;
+      break;
+  }
+  if (aDelay != duration::zero()) {
+    const double old = ValueAt(aServer.mDelay, kDelayMemory, aNow);
+    const double milliseconds = std::chrono::duration<double, std::milli>(aDelay).count();
+    aServer.mDelay.mValue = std::clamp(0.5 * old + 0.5 * milliseconds, 0.0, kMaxDelayMs);
+    aServer.mDelay.mAt = aNow;
+  }
+}
+
+double FailureShare(const backend_server& aServer, time_point aNow)
+{
+  const double failures = ValueAt(aServer.mFailures, kHealthHalfLife, aNow);
+  const double successes = ValueAt(aServer.mSuccesses, kHealthHalfLife, aNow);
+  return failures / (failures + successes + kPriorSuccesses);
+}
+
+bool TakeColdPlace(backend_server& aServer, const cold_share& aShare, time_point aNow)
+{
+  if (aShare.mRate <= 0) {
+    return true;
+  }
+  const std::string& server = aServer.mAnnounced.mId.Value();
+  const auto weight = [&server](const std::string& aInstance) {
+    return StableHash(server, StableHash(aInstance));
+  };
+  const std::uint64_t own = weight(aShare.mSelf);
+  const auto ahead = std::count_if(
+    aShare.mInstances.begin(), aShare.mInstances.end(),
+    [&](const std::string& aOther) { return aOther != aShare.mSelf && weight(aOther) > own; });
+  if (static_cast<std::size_t>(ahead) >= kColdSenders) {
+    return false;
+  }
+  const double rate = aShare.mRate / static_cast<double>(kColdSenders);
+  const double burst = std::max(1.0, rate / 4);
+  if (aServer.mColdRefilled == time_point{}) {
+    aServer.mColdTokens = 1;
+  } else {
+    const double seconds = std::chrono::duration<double>(aNow - aServer.mColdRefilled).count();
+    aServer.mColdTokens = std::min(burst, aServer.mColdTokens + seconds * rate);
+  }
+  aServer.mColdRefilled = aNow;
+  if (aServer.mColdTokens < 1) {
+    return false;
+  }
+  aServer.mColdTokens -= 1;
+  return true;
+}
+
+} // namespace tamarackweir::backends
--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -88,6 +88,33 @@
   return bytes;
 }
 
+std::string Base64Encode(std::string_view aBytes)
+{
+  std::string text((aBytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                   reinterpret_cast<const unsigned char*>(aBytes.data()),
+                                   static_cast<int>(aBytes.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+std::string Base64Decode(std::string_view aText)
+{
+  const std::size_t padding = aText.ends_with("==") ? 2 : aText.ends_with('=') ? 1 : 0;
+  std::string bytes(aText.size() / 4 * 3 + 1, '\0');
+  const int size = aText.size() % 4 != 0
+                     ? -1
+                     : EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                                       reinterpret_cast<const unsigned char*>(aText.data()),
+                                       static_cast<int>(aText.size()));
+  if (size < 0) {
+    throw error(error_kind::InvalidInput, "the text is not base64",
+                "send it with padding and without spaces");
+  }
+  bytes.resize(static_cast<std::size_t>(size) - padding);
+  return bytes;
+}
+
 bool EqualConstantTime(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
--- a/src/entry/runtime.h
+++ b/src/entry/runtime.h
@@ -2,7 +2,7 @@
 
 #include "control/requests.h"
 #include "entry/instance_settings.h"
-#include "entry/metrics.h"
+#include "observe/metrics.h"
 #include "entry/trace.h"
 
 #include <caf/all.hpp>
--- /dev/null
+++ b/src/gateway/admission.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "gateway/state.h"
+
+#include <optional>
+
+namespace tamarackweir::gateway {
+
+/// How one attempt at a backend server ended, as far as the next step depends on it.
+enum class attempt_result
+{
+  NoServer,  ///< none could be chosen; nothing was sent
+  NotSent,   ///< no connection; no byte was sent
+  NotRun,    ///< the server states that it did not run the request
+  Broken,    ///< sent, and the answer is missing or damaged
+  Silent,    ///< sent, and no answer within the attempt's limit
+  Failure,   ///< a whole answer that says that the server failed
+  Success,   ///< a whole answer, or the beginning of a stream
+};
+
+/// Whether the attempt certainly left nothing running or done.
+bool IsCertainlyNotRun(attempt_result aResult);
+
+/// What is known of a request when an attempt has ended.
+struct attempt_history
+{
+  bool mIsIdempotent = false;
+  int mRuns = 0;        ///< attempts that may have run
+  int mMaxRuns = 1;     ///< the route's bound
+  int mRefusals = 0;    ///< attempts that certainly did not run
+  bool mDelivered = false; ///< the caller has bytes of an answer that can't go on elsewhere
+  time_point mDeadline{};
+  duration mExpected{}; ///< usual time of another attempt
+};
+
+/// Attempts that did not run before the request is refused: after three servers refused it, the
+/// others are most likely as full.
+inline constexpr int kMaxRefusals = 4;
+
+/// Whether the request is sent again; if so, the budget is charged.
+bool MaySendAgain(attempt_result aResult, const attempt_history& aHistory,
+                  overload::retry_budget& aBudget, time_point aNow);
+
+/// How the caller of a request without an answer is told.
+struct refusal
+{
+  int mStatus = 503;
+  const char* mTitle = "";
+  bool mNotRun = true;                  ///< the request has not run and will not
+  std::optional<duration> mRetryAfter; ///< absent: another try is of no use
+};
+
+/// The refusal of a request whose last attempt ended with `aResult`.
+/// \param aAnyRun an attempt may have run
+/// \param aTimeLeft of the caller
+/// \param aPoint uniform in [0, 1); spreads the callers that come back
+refusal RefusalAfter(attempt_result aResult, bool aAnyRun, duration aTimeLeft, double aPoint);
+
+/// Limit of one attempt up to its answer, or its first event.
+///
+/// An attempt that may be repeated is given up once it takes several times as long as usual, so that
+/// a server that hangs costs the caller little; the last one has all the time that is left.
+duration AttemptLimit(const attempt_history& aHistory, const usual_time& aUsual, duration aTarget,
+                      time_point aNow);
+
+/// Notes a time to an answer or first event.
+void RecordTime(usual_time& aUsual, duration aTime);
+
+/// The budget of a service, with this instance's part of the bounds.
+overload::retry_budget& BudgetOf(gateway_state& aState, const service_id& aService);
+
+} // namespace tamarackweir::gateway
--- /dev/null
+++ b/src/gateway/forward_plain.cpp
@@ -0,0 +1,37 @@
+#include "gateway/call.h"
+
+namespace tamarackweir::gateway {
+
+net::task<> ForwardPlain(gateway_state& aState, call& aCall)
+{
+  while (true) {
+    attempt_outcome outcome = co_await Attempt(aState, aCall, std::nullopt);
+    const duration time =
+      outcome.mAttempt != nullptr ? net::Now() - outcome.mAttempt->Started() : duration::zero();
+    Conclude(aState, aCall, outcome, time);
+    if (outcome.mExchange != nullptr) {
+      outcome.mExchange->Close();
+    }
+    if (aCall.mCaller->IsGone()) {
+      LogEnd(aState, aCall, 0, "caller_left");
+      co_return;
+    }
+    if (outcome.mResult == attempt_result::Success) {
+      co_await Deliver(aState, aCall, outcome);
+      co_return;
+    }
+    if (TryAgain(aState, aCall, outcome.mResult)) {
+      continue;
+    }
+    if (outcome.mResult == attempt_result::Failure) {
+      co_await Deliver(aState, aCall, outcome);
+      co_return;
+    }
+    const refusal told = RefusalAfter(outcome.mResult, aCall.mRuns > 0, aCall.mDeadline - net::Now(),
+                                      std::uniform_real_distribution<double>()(aState.mRandom));
+    co_await Refuse(aState, aCall, told);
+    co_return;
+  }
+}
+
+} // namespace tamarackweir::gateway
--- /dev/null
+++ b/src/gateway/forward_stream.cpp
@@ -0,0 +1,245 @@
+#include "base/error.h"
+#include "gateway/call.h"
+#include "observe/event_log.h"
+#include "relay/raw_events.h"
+
+#include <algorithm>
+
+namespace tamarackweir::gateway {
+
+namespace {
+
+/// Weight of a new sample of the engines' load.
+constexpr double kLoadSmoothing = 0.08;
+/// Part of the target latency that a first event takes when engines are idle, and when they are full.
+constexpr double kIdlePart = 0.2;
+constexpr double kFullPart = 0.8;
+
+/// A pause of this part of the longest one that is on time moves the stream to another server.
+constexpr double kGapPart = 0.75;
+constexpr duration kDefaultGap = 5s; ///< for routes that name no longest pause
+
+void RecordLoad(gateway_state& aState, const call& aCall, duration aTime)
+{
+  const double part = std::chrono::duration<double>(aTime).count() /
+                      std::max(1e-3, std::chrono::duration<double>(aCall.mRoute->mTargetLatency).count());
+  const double sample = std::clamp((part - kIdlePart) / (kFullPart - kIdlePart), 0.0, 1.0);
+  double& load = aState.mEngineLoad[aCall.mService];
+  load += kLoadSmoothing * (sample - load);
+}
+
+/// Progress of a stream towards the caller.
+struct delivery
+{
+  bool mStarted = false;               ///< the caller has the header
+  std::optional<std::uint64_t> mLastEvent; ///< the caller has the events up to this one
+  std::size_t mEvents = 0;
+  bool mCallerLost = false;
+};
+
+/// How the body of one run ended.
+enum class run_end
+{
+  Complete,
+  Broken,
+  Stalled,
+  CallerLost,
+};
+
+bool IsOver(const call& aCall)
+{
+  return net::Now() >= aCall.mDeadline;
+}
+
+net::task<run_end> PumpEvents(gateway_state& aState, call& aCall, attempt_outcome& aOutcome,
+                              delivery& aDelivery)
+{
+  const duration gap = aCall.mRoute->mTargetGap > 0s
+                         ? std::chrono::duration_cast<duration>(aCall.mRoute->mTargetGap * kGapPart)
+                         : kDefaultGap;
+  net::exchange& exchange = *aOutcome.mExchange;
+  relay::raw_events events;
+  std::string bytes;
+  bool isFirst = true;
+  while (!exchange.IsComplete()) {
+    bytes.clear();
+    const duration left = aCall.mDeadline - net::Now();
+    const bool mayMove = aCall.mRoute->mIsResumable && aCall.mRuns < aCall.mRoute->mMaxAttempts;
+    // Up to the first event the attempt's own limit holds; later a pause moves the stream.
+    const duration firstLimit = AttemptLimit(HistoryOf(aState, aCall), UsualTime(aState, aCall),
+                                             aCall.mRoute->mTargetLatency, net::Now());
+    const duration limit = !mayMove ? left : std::min(left, isFirst ? std::max(gap, firstLimit) : gap);
+    const auto failure = co_await exchange.ReadSome(bytes, std::max(limit, duration::zero()));
+    if (aCall.mCaller->IsGone()) {
+      co_return run_end::CallerLost;
+    }
+    if (failure) {
+      co_return exchange.HasTimedOut() ? run_end::Stalled : run_end::Broken;
+    }
+    relay::whole_events whole;
+    try {
+      whole = relay::Cut(events, bytes, aDelivery.mLastEvent);
+    } catch (const error& malformed) {
+      observe::event_line("stream_malformed")
+        .Text("request", aCall.mFacts.mAttempt)
+        .Text("reason", malformed.what())
+        .Write();
+      co_return run_end::Broken;
+    }
+    if (exchange.IsComplete()) {
+      // The server ended the body in order, so bytes behind the last blank line belong to it.
+      whole.mBytes += std::exchange(events.mPending, {});
+    }
+    if (whole.mBytes.empty()) {
+      continue;
+    }
+    if (isFirst) {
+      isFirst = false;
+      aOutcome.mAttempt->MarkRead();
+      RecordLoad(aState, aCall, net::Now() - aOutcome.mAttempt->Started());
+    }
+    if (co_await aCall.mCaller->WriteBody(whole.mBytes)) {
+      co_return run_end::CallerLost;
+    }
+    aDelivery.mEvents += whole.mCount;
+    if (whole.mLastId) {
+      aDelivery.mLastEvent = whole.mLastId;
+    }
+  }
+  co_return run_end::Complete;
+}
+
+/// The larger model to ask instead of delivering this answer; charges the budget.
+std::optional<std::size_t> Escalation(gateway_state& aState, const call& aCall,
+                                      const attempt_outcome& aOutcome, const delivery& aDelivery)
+{
+  if (aDelivery.mStarted || aCall.mRoute->mSizes.empty() || !aCall.mFacts.mAnyModel) {
+    return std::nullopt;
+  }
+  const attempt_history history = HistoryOf(aState, aCall);
+  const cascade::confidence_step step{
+    .mSize = aCall.mSize,
+    .mSizes = aCall.mRoute->mSizes.size(),
+    .mConfidence = aOutcome.mFacts.mConfidence,
+    .mLoad = aState.mEngineLoad[aCall.mService],
+    .mMayRunAgain = history.mIsIdempotent && history.mRuns < history.mMaxRuns,
+  };
+  const auto next = cascade::NextSize(step, aState.mOptions.mConfidence);
+  if (!next || !TryAgain(aState, aCall, attempt_result::Failure)) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+const char* NameOf(run_end aEnd)
+{
+  switch (aEnd) {
+    case run_end::Complete:
+      return "complete";
+    case run_end::Broken:
+      return "broken";
+    case run_end::Stalled:
+      return "stalled";
+    case run_end::CallerLost:
+      return "caller_lost";
+  }
+  return "unknown";
+}
+
+void LogRun(const call& aCall, const attempt_outcome& aOutcome, const delivery& aDelivery, run_end aEnd)
+{
+  observe::event_line("run")
+    .Text("request", aCall.mFacts.mAttempt)
+    .Text("server", aOutcome.mAttempt->Server().mAnnounced.mId.Value())
+    .Text("end", NameOf(aEnd))
+    .Number("events", static_cast<std::int64_t>(aDelivery.mEvents))
+    .Number("last_event", aDelivery.mLastEvent ? static_cast<std::int64_t>(*aDelivery.mLastEvent) : -1)
+    .Millis("ms", net::Now() - aOutcome.mAttempt->Started())
+    .Write();
+}
+
+} // namespace
+
+net::task<> ForwardStream(gateway_state& aState, call& aCall)
+{
+  delivery delivered{ .mLastEvent = aCall.mFacts.mLastEvent };
+  while (true) {
+    attempt_outcome outcome = co_await Attempt(aState, aCall, delivered.mLastEvent);
+    const duration time =
+      outcome.mAttempt != nullptr ? net::Now() - outcome.mAttempt->Started() : duration::zero();
+    const std::shared_ptr<net::exchange> open = aCall.mExchange;
+    Conclude(aState, aCall, outcome, time);
+    if (aCall.mCaller->IsGone()) {
+      if (outcome.mExchange != nullptr) {
+        outcome.mExchange->Close();
+      }
+      LogEnd(aState, aCall, 0, "caller_left");
+      co_return;
+    }
+    attempt_result result = outcome.mResult;
+    if (result == attempt_result::Success && outcome.mExchange->Header().result_int() < 300) {
+      if (const auto next = Escalation(aState, aCall, outcome, delivered); next) {
+        outcome.mExchange->Close();
+        aCall.mSize = *next;
+        aCall.mTried.clear();
+        continue;
+      }
+      aCall.mExchange = open;
+      if (!delivered.mStarted) {
+        net::http::response_header<> head;
+        aState.mDialect.mWriteAnswer(outcome.mExchange->Header(), head);
+        head.result(outcome.mExchange->Header().result_int());
+        head.reason(outcome.mExchange->Header().reason());
+        delivered.mStarted = true;
+        if (co_await aCall.mCaller->StartBody(head)) {
+          outcome.mExchange->Close();
+          aCall.mExchange.reset();
+          aCall.mCaller->Break();
+          LogEnd(aState, aCall, 0, "caller_lost");
+          co_return;
+        }
+      }
+      const run_end end = co_await PumpEvents(aState, aCall, outcome, delivered);
+      outcome.mExchange->Close();
+      aCall.mExchange.reset();
+      LogRun(aCall, outcome, delivered, end);
+      if (end == run_end::Complete) {
+        const auto failure = co_await aCall.mCaller->FinishBody();
+        LogEnd(aState, aCall, 200, failure ? "caller_lost" : "answered");
+        co_return;
+      }
+      if (end == run_end::CallerLost) {
+        aCall.mCaller->Break();
+        LogEnd(aState, aCall, 0, "caller_left");
+        co_return;
+      }
+      result = end == run_end::Stalled ? attempt_result::Silent : attempt_result::Broken;
+      backends::RecordEnd(outcome.mAttempt->Server(),
+                          end == run_end::Stalled ? backends::attempt_end::Silent
+                                                  : backends::attempt_end::Broken,
+                          duration::zero(), net::Now());
+    } else if (outcome.mExchange != nullptr) {
+      outcome.mExchange->Close();
+    }
+    const bool isWhole = result == attempt_result::Failure || result == attempt_result::Success;
+    if (result != attempt_result::Success && !IsOver(aCall) && TryAgain(aState, aCall, result)) {
+      continue;
+    }
+    if (delivered.mStarted) {
+      // The caller sees that the stream is not complete, and may resume it.
+      aCall.mCaller->Break();
+      LogEnd(aState, aCall, 200, "broken_off");
+      co_return;
+    }
+    if (isWhole) {
+      co_await Deliver(aState, aCall, outcome);
+      co_return;
+    }
+    const refusal told = RefusalAfter(result, aCall.mRuns > 0, aCall.mDeadline - net::Now(),
+                                      std::uniform_real_distribution<double>()(aState.mRandom));
+    co_await Refuse(aState, aCall, told);
+    co_return;
+  }
+}
+
+} // namespace tamarackweir::gateway
--- /dev/null
+++ b/src/gateway/peers.cpp
@@ -0,0 +1,175 @@
+#include "gateway/peers.h"
+
+#include "base/digest.h"
+#include "base/error.h"
+#include "net/http_call.h"
+#include "observe/event_log.h"
+#include "rollout/results_message.h"
+
+#include <algorithm>
+
+namespace tamarackweir::gateway {
+
+namespace {
+
+constexpr const char* kTablesTarget = "/peer/tables";
+constexpr const char* kResultsTarget = "/peer/results";
+constexpr const char* kHalted = "{\"halted\":true}";
+
+constexpr duration kPullLimit = 600ms; ///< for a table of a few hundred rows over a slow link
+constexpr duration kPushLimit = 400ms;
+
+} // namespace
+
+std::vector<std::string> CollectorsOf(const std::vector<std::string>& aInstances,
+                                      const service_id& aService)
+{
+  std::vector<std::string> order = aInstances;
+  const auto weight = [&aService](const std::string& aInstance) {
+    return StableHash(aService.Value(), StableHash(aInstance));
+  };
+  std::sort(order.begin(), order.end(), [&weight](const std::string& aLeft, const std::string& aRight) {
+    return weight(aLeft) > weight(aRight);
+  });
+  order.resize(std::min(order.size(), kCollectors));
+  return order;
+}
+
+peer_exchange::peer_exchange(net::asio::io_context& aLoop, gateway_state& aState,
+                             replica::table_set& aTables,
+                             std::function<void(replica::table_set)> aOnTables)
+  : mLoop(aLoop)
+  , mState(aState)
+  , mTables(aTables)
+  , mOnTables(std::move(aOnTables))
+  , mStart(std::to_string(aState.mRandom()))
+{
+}
+
+void peer_exchange::Listen(const net::tcp::endpoint& aAddress)
+{
+  net::http_server_options options;
+  options.mAddress = aAddress;
+  options.mLimits = &mLimits;
+  options.mHandler = [this](std::shared_ptr<net::caller_connection> aPeer,
+                            std::shared_ptr<net::inbound_request> aRequest) {
+    return Answer(std::move(aPeer), std::move(aRequest));
+  };
+  mServer = std::make_unique<net::http_server>(mLoop, std::move(options));
+  mServer->Start();
+}
+
+net::task<> peer_exchange::PullTables(std::vector<std::string> aNames, std::size_t aCount)
+{
+  std::vector<peer> asked = mPeers;
+  std::shuffle(asked.begin(), asked.end(), mState.mRandom);
+  for (std::size_t i = 0, answered = 0; i < asked.size() && answered < aCount; ++i) {
+    if (co_await PullFrom(asked[i], aNames)) {
+      ++answered;
+    }
+  }
+}
+
+net::task<bool> peer_exchange::PullFrom(peer aPeer, std::vector<std::string> aNames)
+{
+  replica::known_versions known;
+  for (const std::string& name : aNames) {
+    known[name] = mTables[name].mCompleteTo;
+  }
+  net::http_call call;
+  call.mServer = aPeer.mAddress;
+  call.mMethod = net::http::verb::post;
+  call.mTarget = kTablesTarget;
+  call.mBody = replica::EncodeVersions(known);
+  call.mLimit = kPullLimit;
+  const net::http_result result = co_await net::Perform(mLoop.get_executor(), std::move(call));
+  if (result.mFailure || result.mStatus != 200) {
+    observe::event_line("peer_silent")
+      .Text("peer", aPeer.mAddress.address().to_string())
+      .Text("reason", result.mFailure ? result.mFailure.message() : std::to_string(result.mStatus))
+      .Write();
+    co_return false;
+  }
+  try {
+    mOnTables(replica::DecodeTables(result.mBody));
+  } catch (const error& failure) {
+    observe::event_line("peer_unreadable").Text("reason", failure.what()).Write();
+    co_return false;
+  }
+  co_return true;
+}
+
+net::task<> peer_exchange::PushResults(service_id aService)
+{
+  const auto shift = mState.mShifts.find(aService);
+  if (shift == mState.mShifts.end()) {
+    co_return;
+  }
+  const std::uint64_t order = shift->second.mOrder.mOrder;
+  const std::string body =
+    rollout::EncodeReport({ .mService = aService,
+                            .mOrder = order,
+                            .mInstance = mState.mSelf.mId.Value() + "/" + mStart,
+                            .mResults = shift->second.mOwn });
+  const std::vector<std::string> collectors = CollectorsOf(mState.mInstances, aService);
+  const std::vector<peer> peers = mPeers;
+  for (const peer& other : peers) {
+    if (std::find(collectors.begin(), collectors.end(), other.mId.Value()) == collectors.end()) {
+      continue;
+    }
+    net::http_call call;
+    call.mServer = other.mAddress;
+    call.mMethod = net::http::verb::post;
+    call.mTarget = kResultsTarget;
+    call.mBody = body;
+    call.mLimit = kPushLimit;
+    const net::http_result result = co_await net::Perform(mLoop.get_executor(), std::move(call));
+    const auto current = mState.mShifts.find(aService);
+    if (!result.mFailure && result.mBody == kHalted && current != mState.mShifts.end() &&
+        current->second.mOrder.mOrder == order && !current->second.mIsHalted) {
+      current->second.mIsHalted = true;
+      observe::event_line("shift_halted")
+        .Text("service", aService.Value())
+        .Text("by", other.mId.Value())
+        .Write();
+    }
+  }
+}
+
+net::task<> peer_exchange::Answer(std::shared_ptr<net::caller_connection> aPeer,
+                                  std::shared_ptr<net::inbound_request> aRequest)
+{
+  net::outbound_answer answer{ net::http::status::ok, 11 };
+  answer.set(net::http::field::content_type, "application/json");
+  try {
+    if (aRequest->mTarget == kTablesTarget) {
+      answer.body() = AnswerTables(*aRequest);
+    } else if (aRequest->mTarget == kResultsTarget) {
+      answer.body() = AnswerResults(*aRequest);
+    } else {
+      answer.result(net::http::status::not_found);
+    }
+  } catch (const error& failure) {
+    observe::event_line("peer_unreadable").Text("reason", failure.what()).Write();
+    answer.result(net::http::status::bad_request);
+  }
+  (void)co_await aPeer->Answer(answer);
+}
+
+std::string peer_exchange::AnswerTables(const net::inbound_request& aRequest)
+{
+  return replica::EncodeNewer(mTables, replica::DecodeVersions(aRequest.mBody));
+}
+
+std::string peer_exchange::AnswerResults(const net::inbound_request& aRequest)
+{
+  const rollout::results_report report = rollout::DecodeReport(aRequest.mBody);
+  const auto shift = mState.mShifts.find(report.mService);
+  if (shift == mState.mShifts.end() || shift->second.mOrder.mOrder != report.mOrder) {
+    return "{\"halted\":false}";
+  }
+  rollout::MergeResults(shift->second, report.mInstance, report.mResults);
+  return shift->second.mIsHalted ? kHalted : "{\"halted\":false}";
+}
+
+} // namespace tamarackweir::gateway
--- /dev/null
+++ b/src/gateway/peers.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "gateway/state.h"
+#include "net/http_server.h"
+#include "replica/message.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackweir::gateway {
+
+/// Another instance.
+struct peer
+{
+  instance_id mId; ///< empty if only the address is known, from the settings
+  net::tcp::endpoint mAddress;
+};
+
+/// The exchange between instances: copies of the store's tables, for those that the store does not
+/// serve, and results of shifts.
+class peer_exchange
+{
+public:
+  /// \param aOnTables called with tables that came from a peer
+  peer_exchange(net::asio::io_context& aLoop, gateway_state& aState, replica::table_set& aTables,
+                std::function<void(replica::table_set)> aOnTables);
+
+  /// Binds the address for peers and starts to answer. Throws `boost::system::system_error`.
+  void Listen(const net::tcp::endpoint& aAddress);
+
+  /// The peers that may be asked; this instance is not among them.
+  void SetPeers(std::vector<peer> aPeers) { mPeers = std::move(aPeers); }
+
+  /// Asks `aCount` peers, chosen at random, for newer copies of the named tables.
+  net::task<> PullTables(std::vector<std::string> aNames, std::size_t aCount);
+
+  /// Sends this instance's results of a shift to its collectors.
+  net::task<> PushResults(service_id aService);
+
+private:
+  net::task<> Answer(std::shared_ptr<net::caller_connection> aPeer,
+                     std::shared_ptr<net::inbound_request> aRequest);
+  std::string AnswerTables(const net::inbound_request& aRequest);
+  std::string AnswerResults(const net::inbound_request& aRequest);
+  net::task<bool> PullFrom(peer aPeer, std::vector<std::string> aNames);
+
+  net::asio::io_context& mLoop;
+  gateway_state& mState;
+  replica::table_set& mTables;
+  std::function<void(replica::table_set)> mOnTables;
+  net::caller_limits mLimits;
+  std::unique_ptr<net::http_server> mServer;
+  std::vector<peer> mPeers;
+  std::string mStart; ///< tells this start of the instance from earlier ones
+};
+
+/// How many instances collect the results of a shift. The others send to them, so that the cost of
+/// one does not grow with their number; more than one, so that one may be down.
+inline constexpr std::size_t kCollectors = 3;
+
+/// The instances that collect the results of a service's shift.
+std::vector<std::string> CollectorsOf(const std::vector<std::string>& aInstances,
+                                      const service_id& aService);
+
+} // namespace tamarackweir::gateway
--- /dev/null
+++ b/src/gateway/state.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "backends/fleet.h"
+#include "cascade/confidence.h"
+#include "gateway/dialect.h"
+#include "observe/metrics.h"
+#include "overload/retry.h"
+#include "placement/choose.h"
+#include "rollout/shift.h"
+#include "routing/route_table.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackweir::gateway {
+
+/// Bounds that the deployment sets.
+struct deployment_bounds
+{
+  double mRetryRatio = 0.1;  ///< repeats for each request of a service, over all instances
+  double mRetrySlack = 0;    ///< repeats of a window beyond the ratio, over all instances
+  double mColdExcess = 1;    ///< factor on a cold server's rate that is still borne
+  duration mSessionGap = 5s; ///< a session that pauses for longer has ended
+  duration mStopGrace = 8s;  ///< from the request to stop to the end of the process
+};
+
+/// Who this instance is.
+struct identity
+{
+  instance_id mId;
+  data_centre_id mDataCentre;
+  std::map<data_centre_id, routing::region_id> mRegions; ///< of all data centres
+};
+
+/// Options of the gateway's decisions.
+struct gateway_options
+{
+  deployment_bounds mBounds;
+  placement::choice_options mPlacement;
+  cascade::confidence_options mConfidence;
+  rollout::shift_options mShift;
+};
+
+/// Usual time to an answer, or to the first event, of one route and model.
+struct usual_time
+{
+  double mMs = 0;
+  std::uint64_t mSamples = 0;
+};
+
+/// State of the gateway on one instance. Used on the event loop only.
+struct gateway_state
+{
+  identity mSelf;
+  gateway_options mOptions;
+  dialect mDialect;
+
+  std::shared_ptr<const routing::route_table> mRoutes; ///< null until a configuration is known
+  std::set<data_centre_id> mEvacuated;
+  std::map<service_id, rollout::shift> mShifts;
+  backends::fleet mFleet;
+  std::vector<std::string> mInstances; ///< ids of all instances, this one included
+
+  placement::prompt_memory mPrompts;
+  std::unordered_map<service_id, overload::retry_budget> mBudgets;
+  std::unordered_map<std::string, usual_time> mUsual; ///< by route and model
+  std::unordered_map<service_id, double> mEngineLoad; ///< 0 (idle) to 1, from times to first events
+  rollout::session_pins mSessions;
+  std::mt19937_64 mRandom;
+  observe::metrics mMetrics;
+  bool mIsStopping = false;
+};
+
+} // namespace tamarackweir::gateway
--- /dev/null
+++ b/src/net/exchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "net/loop.h"
+#include "net/watchdog.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+
+namespace tamarackweir::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// A request as it is sent: start line, header and body.
+using outbound_request = http::request<http::string_body>;
+
+/// Largest header of an answer in bytes; engines and services send less than a tenth of it.
+inline constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
+
+/// One request to a server and its answer, on a connection of its own.
+///
+/// The request is written while the answer is read, because a server may answer before it has read
+/// a long body. The connection is never used again, so bytes that follow the answer, or that are
+/// still due to the server, cannot become part of another exchange.
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+  explicit exchange(const asio::any_io_executor& aExecutor);
+
+  /// Opens the connection. Until it returns without an error no byte of a request has left.
+  task<error_code> Connect(tcp::endpoint aServer, duration aLimit, silence_limits aSilence);
+
+  /// Starts to write `aRequest`; `ReadHeader` may be called at once.
+  void Send(std::shared_ptr<const outbound_request> aRequest);
+
+  /// Reads the start line and the header of the answer; interim answers (1xx) are skipped.
+  task<error_code> ReadHeader(duration aLimit);
+
+  /// Appends what arrives next of the body to `aOut`. Returns without an error and with `IsComplete`
+  /// once the whole body was read; a body without a length is complete at the orderly end of the
+  /// connection only.
+  task<error_code> ReadSome(std::string& aOut, duration aLimit);
+
+  /// Reads the rest of the body, at most `aMaxBytes`, in `aLimit` altogether.
+  task<error_code> ReadAll(std::string& aOut, std::size_t aMaxBytes, duration aLimit);
+
+  bool IsComplete() const { return mParser && mParser->is_done(); }
+  /// Start line and header of the answer; valid after `ReadHeader`.
+  const http::response_header<>& Header() const { return mParser->get().base(); }
+  /// Whether the last operation failed because its limit passed.
+  bool HasTimedOut() const { return mWatchdog.HasExpired(); }
+
+  /// Closes the connection; pending operations fail.
+  void Close();
+
+private:
+  tcp::socket mSocket;
+  watchdog mWatchdog;
+  beast::flat_buffer mBuffer;
+  std::optional<http::response_parser<http::buffer_body>> mParser;
+  bool mIsHead = false;
+};
+
+} // namespace tamarackweir::net
--- /dev/null
+++ b/src/net/http_call.cpp
@@ -0,0 +1,41 @@
+#include "net/http_call.h"
+
+namespace tamarackweir::net {
+
+namespace {
+
+constexpr duration kConnectLimit = 500ms; ///< an address that does not answer is down
+
+} // namespace
+
+task<http_result> Perform(asio::any_io_executor aExecutor, http_call aCall)
+{
+  const time_point end = Now() + aCall.mLimit;
+  http_result result;
+  const auto connection = std::make_shared<exchange>(aExecutor);
+  result.mFailure = co_await connection->Connect(aCall.mServer, std::min(kConnectLimit, aCall.mLimit),
+                                                 aCall.mSilence);
+  if (result.mFailure) {
+    co_return result;
+  }
+  auto request = std::make_shared<outbound_request>(aCall.mMethod, aCall.mTarget, 11);
+  request->set(http::field::host, aCall.mServer.address().to_string());
+  request->keep_alive(false);
+  if (!aCall.mBody.empty()) {
+    request->set(http::field::content_type, "application/json");
+    request->body() = std::move(aCall.mBody);
+    request->prepare_payload();
+  }
+  result.mMayBeDone = true;
+  connection->Send(std::move(request));
+  result.mFailure = co_await connection->ReadHeader(std::max(end - Now(), duration::zero()));
+  if (!result.mFailure) {
+    result.mStatus = connection->Header().result_int();
+    result.mFailure = co_await connection->ReadAll(result.mBody, aCall.mMaxAnswerBytes,
+                                                   std::max(end - Now(), duration::zero()));
+  }
+  connection->Close();
+  co_return result;
+}
+
+} // namespace tamarackweir::net
--- /dev/null
+++ b/src/net/http_call.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "net/exchange.h"
+
+#include <string>
+
+namespace tamarackweir::net {
+
+/// A small call to a service of the deployment: one request, one whole answer.
+struct http_call
+{
+  tcp::endpoint mServer;
+  http::verb mMethod = http::verb::get;
+  std::string mTarget;
+  std::string mBody; ///< JSON; empty: none
+  duration mLimit = 1s; ///< from the connect to the last byte
+  std::size_t mMaxAnswerBytes = 16 * 1024 * 1024;
+  silence_limits mSilence;
+};
+
+struct http_result
+{
+  error_code mFailure; ///< set: there is no whole answer
+  bool mMayBeDone = false; ///< without an answer: bytes of the call have left
+  unsigned mStatus = 0;
+  std::string mBody;
+};
+
+/// Performs a call on a connection of its own.
+task<http_result> Perform(asio::any_io_executor aExecutor, http_call aCall);
+
+} // namespace tamarackweir::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,386 @@
+#include "net/http_server.h"
+
+#include "observe/event_log.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+namespace tamarackweir::net {
+
+namespace {
+
+constexpr int kListenBacklog = 1024; ///< connections; a full queue costs a caller seconds
+
+/// Bytes of further requests that are read while one is answered; more wait in the socket.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+
+/// How long a refused caller may go on sending before its connection is closed, so that it reads the
+/// answer before the reset.
+constexpr duration kLingerLimit = 500ms;
+
+constexpr duration kAcceptRetryDelay = 20ms; ///< after a lack of descriptors
+
+http::status StatusOf(protocol_refusal aRefusal)
+{
+  switch (aRefusal) {
+    case protocol_refusal::BadRequest:
+      return http::status::bad_request;
+    case protocol_refusal::HeaderTooLarge:
+      return http::status::request_header_fields_too_large;
+    case protocol_refusal::BodyTooLarge:
+      return http::status::payload_too_large;
+    case protocol_refusal::Timeout:
+      return http::status::request_timeout;
+  }
+  return http::status::bad_request;
+}
+
+} // namespace
+
+caller_connection::caller_connection(tcp::socket aSocket, const caller_limits& aLimits)
+  : mSocket(std::move(aSocket))
+  , mWatchdog(mSocket)
+  , mLimits(aLimits)
+{
+}
+
+task<error_code> caller_connection::Answer(outbound_answer& aAnswer)
+{
+  mHasRequest = false;
+  aAnswer.version(11);
+  aAnswer.keep_alive(mKeepAlive);
+  if (mIsHead) {
+    // The length of the body that a GET would have had stays as the server gave it.
+    aAnswer.body().clear();
+  } else {
+    aAnswer.prepare_payload();
+  }
+  error_code failure;
+  mWatchdog.Arm(mLimits.mWriteTimeout);
+  http::response_serializer<http::string_body> serializer(aAnswer);
+  serializer.split(false);
+  co_await http::async_write(mSocket, serializer,
+                             asio::redirect_error(asio::use_awaitable, failure));
+  mWatchdog.Disarm();
+  if (failure) {
+    mKeepAlive = false;
+  }
+  co_return failure;
+}
+
+task<error_code> caller_connection::StartBody(const http::response_header<>& aHeader)
+{
+  http::response<http::empty_body> head{ aHeader };
+  head.version(11);
+  head.keep_alive(mKeepAlive);
+  head.erase(http::field::content_length);
+  mIsChunked = true;
+  head.chunked(true);
+  error_code failure;
+  mWatchdog.Arm(mLimits.mWriteTimeout);
+  http::response_serializer<http::empty_body> serializer(head);
+  co_await http::async_write_header(mSocket, serializer,
+                                    asio::redirect_error(asio::use_awaitable, failure));
+  mWatchdog.Disarm();
+  co_return failure;
+}
+
+task<error_code> caller_connection::WriteBody(std::string_view aBytes)
+{
+  error_code failure;
+  mWatchdog.Arm(mLimits.mWriteTimeout);
+  const auto chunk = http::make_chunk(asio::const_buffer(aBytes.data(), aBytes.size()));
+  co_await asio::async_write(mSocket, chunk, asio::redirect_error(asio::use_awaitable, failure));
+  mWatchdog.Disarm();
+  co_return failure;
+}
+
+task<error_code> caller_connection::FinishBody()
+{
+  mHasRequest = false;
+  error_code failure;
+  mWatchdog.Arm(mLimits.mWriteTimeout);
+  const auto last = http::make_chunk_last();
+  co_await asio::async_write(mSocket, last, asio::redirect_error(asio::use_awaitable, failure));
+  mWatchdog.Disarm();
+  if (failure) {
+    mKeepAlive = false;
+  }
+  co_return failure;
+}
+
+void caller_connection::Break()
+{
+  mHasRequest = false;
+  mKeepAlive = false;
+  error_code ignoredAsClosedAnyway;
+  mSocket.close(ignoredAsClosedAnyway);
+}
+
+void caller_connection::OnGone(std::function<void()> aAction)
+{
+  mOnGone = std::move(aAction);
+  if (mIsGone && mOnGone) {
+    mOnGone();
+  }
+}
+
+void caller_connection::SetGone()
+{
+  if (!mHasRequest || mIsGone) {
+    return;
+  }
+  mIsGone = true;
+  mKeepAlive = false;
+  if (const auto action = std::exchange(mOnGone, nullptr)) {
+    action();
+  }
+}
+
+void caller_connection::Watch()
+{
+  if (mIsWatched || !mSocket.is_open()) {
+    return;
+  }
+  mIsWatched = true;
+  mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code aFailure) {
+    self->mIsWatched = false;
+    if (!self->mHasRequest) {
+      return;
+    }
+    char byte = 0;
+    const ssize_t seen =
+      aFailure ? -1 : recv(self->mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (seen > 0) {
+      // A pipelined request. Its bytes are kept; once there are too many, the wait ends.
+      const std::size_t room = kMaxPipelinedBytes - std::min(kMaxPipelinedBytes, self->mBuffer.size());
+      if (room == 0) {
+        return;
+      }
+      error_code failure;
+      const std::size_t size = self->mSocket.read_some(
+        self->mBuffer.prepare(std::min<std::size_t>(room, self->mSocket.available(failure))), failure);
+      self->mBuffer.commit(size);
+      if (!failure) {
+        self->Watch();
+        return;
+      }
+    } else if (seen < 0 && !aFailure && (errno == EAGAIN || errno == EINTR)) {
+      self->Watch();
+      return;
+    }
+    self->SetGone();
+  });
+}
+
+http_server::http_server(asio::io_context& aLoop, http_server_options aOptions)
+  : mAcceptor(aLoop)
+  , mOptions(std::move(aOptions))
+{
+  mAcceptor.open(mOptions.mAddress.protocol());
+  mAcceptor.set_option(tcp::acceptor::reuse_address(true));
+  mAcceptor.bind(mOptions.mAddress);
+  mAcceptor.listen(kListenBacklog);
+}
+
+void http_server::Start()
+{
+  Spawn(mAcceptor.get_executor(), "accept", Accept());
+}
+
+void http_server::StopAccepting()
+{
+  error_code ignoredAsClosedAnyway;
+  mAcceptor.close(ignoredAsClosedAnyway);
+}
+
+void http_server::Drain()
+{
+  mDraining = true;
+  for (caller_connection* connection : mConnections) {
+    connection->mKeepAlive = false;
+  }
+}
+
+std::size_t http_server::CloseIdle()
+{
+  std::size_t open = 0;
+  for (caller_connection* connection : mConnections) {
+    if (connection->mIsIdle) {
+      error_code ignoredAsClosedAnyway;
+      connection->mSocket.close(ignoredAsClosedAnyway);
+    } else {
+      ++open;
+    }
+  }
+  return open;
+}
+
+void http_server::CloseAll()
+{
+  for (caller_connection* connection : mConnections) {
+    error_code ignoredAsClosedAnyway;
+    connection->mSocket.close(ignoredAsClosedAnyway);
+  }
+}
+
+task<> http_server::Accept()
+{
+  while (mAcceptor.is_open()) {
+    tcp::socket socket(mAcceptor.get_executor());
+    error_code failure;
+    co_await mAcceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      if (mAcceptor.is_open()) {
+        observe::event_line("accept_failed").Text("reason", failure.message()).Write();
+        co_await SleepFor(mAcceptor.get_executor(), kAcceptRetryDelay);
+      }
+      continue;
+    }
+    LimitSilence(socket, silence_limits{});
+    auto connection = std::make_shared<caller_connection>(std::move(socket), *mOptions.mLimits);
+    Spawn(mAcceptor.get_executor(), "serve", Serve(std::move(connection)));
+  }
+}
+
+task<> http_server::Serve(std::shared_ptr<caller_connection> aConnection)
+{
+  mConnections.insert(aConnection.get());
+  bool isOpen = true;
+  while (isOpen) {
+    isOpen = co_await ServeOne(aConnection);
+  }
+  error_code ignoredAsClosedAnyway;
+  aConnection->mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedAnyway);
+  aConnection->mSocket.close(ignoredAsClosedAnyway);
+  mConnections.erase(aConnection.get());
+}
+
+task<bool> http_server::ServeOne(std::shared_ptr<caller_connection> aConnection)
+{
+  caller_connection& connection = *aConnection;
+  const caller_limits& limits = connection.mLimits;
+  error_code failure;
+  connection.mIsIdle = connection.mBuffer.size() == 0;
+  if (connection.mIsIdle) {
+    connection.mWatchdog.Arm(limits.mIdleTimeout);
+    co_await connection.mSocket.async_wait(tcp::socket::wait_read,
+                                           asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return false;
+    }
+  }
+
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.mMaxHeaderBytes);
+  parser.body_limit(limits.mMaxBodyBytes);
+  const time_point arrived = Now();
+  connection.mWatchdog.Arm(limits.mHeaderTimeout);
+  co_await http::async_read_header(connection.mSocket, connection.mBuffer, parser,
+                                   asio::redirect_error(asio::use_awaitable, failure));
+  if (failure == http::error::end_of_stream || failure == asio::error::operation_aborted) {
+    co_return false;
+  }
+  connection.mIsIdle = false;
+  if (failure == http::error::header_limit) {
+    co_await Refuse(connection, protocol_refusal::HeaderTooLarge);
+    co_return false;
+  }
+  if (failure) {
+    const bool isMalformed = failure.category() == make_error_code(http::error::bad_method).category();
+    if (isMalformed && failure != http::error::partial_message) {
+      co_await Refuse(connection, protocol_refusal::BadRequest);
+    }
+    co_return false;
+  }
+
+  auto request = std::make_shared<inbound_request>();
+  request->mArrived = arrived;
+  request->mMethod = std::string(parser.get().method_string());
+  request->mTarget = std::string(parser.get().target());
+  // Copied before the body is read, so that trailers do not become headers.
+  request->mHeader = parser.get().base();
+  const bool keepAlive = parser.get().keep_alive();
+  if (parser.get().version() != 11 || request->mHeader.count(http::field::host) != 1) {
+    co_await Refuse(connection, protocol_refusal::BadRequest);
+    co_return false;
+  }
+
+  if (!parser.is_done()) {
+    if (parser.content_length() && *parser.content_length() > limits.mMaxBodyBytes) {
+      co_await Refuse(connection, protocol_refusal::BodyTooLarge);
+      co_return false;
+    }
+    connection.mWatchdog.Arm(limits.mBodyTimeout);
+    if (beast::iequals(request->mHeader[http::field::expect], "100-continue")) {
+      static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(connection.mSocket,
+                                 asio::const_buffer(kContinue.data(), kContinue.size()),
+                                 asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (!failure) {
+      co_await http::async_read(connection.mSocket, connection.mBuffer, parser,
+                                asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (failure == http::error::body_limit) {
+      co_await Refuse(connection, protocol_refusal::BodyTooLarge);
+      co_return false;
+    }
+    if (failure) {
+      const bool isMalformed =
+        failure.category() == make_error_code(http::error::bad_method).category();
+      if (isMalformed && failure != http::error::partial_message) {
+        co_await Refuse(connection, protocol_refusal::BadRequest);
+      }
+      co_return false;
+    }
+  }
+  connection.mWatchdog.Disarm();
+  request->mBody = std::move(parser.get().body());
+
+  connection.mKeepAlive = keepAlive && !mDraining;
+  connection.mIsHead = request->mMethod == "HEAD";
+  connection.mHasRequest = true;
+  connection.mIsGone = false;
+  connection.Watch();
+  co_await mOptions.mHandler(aConnection, std::move(request));
+  connection.mOnGone = nullptr;
+  if (connection.mHasRequest) {
+    // The handler gave up without an answer.
+    connection.Break();
+  }
+  co_return connection.mKeepAlive && connection.mSocket.is_open();
+}
+
+task<> http_server::Refuse(caller_connection& aConnection, protocol_refusal aRefusal)
+{
+  if (mOptions.mOnRefusal) {
+    mOptions.mOnRefusal(aRefusal);
+  }
+  aConnection.mKeepAlive = false;
+  outbound_answer answer{ StatusOf(aRefusal), 11 };
+  answer.set(http::field::content_type, "application/problem+json");
+  answer.body() = "{\"title\":\"" + std::string(http::obsolete_reason(answer.result())) +
+                  "\",\"outcome\":\"not_run\"}";
+  if (co_await aConnection.Answer(answer)) {
+    co_return;
+  }
+  // Reads on for a moment: closing with unread bytes would reset the connection under the answer.
+  error_code failure;
+  aConnection.mSocket.shutdown(tcp::socket::shutdown_send, failure);
+  aConnection.mWatchdog.Arm(kLingerLimit);
+  while (!failure) {
+    aConnection.mBuffer.clear();
+    const auto room = aConnection.mBuffer.prepare(kMaxPipelinedBytes);
+    co_await aConnection.mSocket.async_read_some(room,
+                                                 asio::redirect_error(asio::use_awaitable, failure));
+  }
+}
+
+} // namespace tamarackweir::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "net/exchange.h"
+#include "net/loop.h"
+#include "net/watchdog.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+namespace tamarackweir::net {
+
+/// What callers may send and how long they may take.
+struct caller_limits
+{
+  std::uint32_t mMaxHeaderBytes = 16 * 1024; ///< above it 431
+  std::uint64_t mMaxBodyBytes = 1024 * 1024; ///< above it 413
+  duration mHeaderTimeout = 5s;              ///< from the first byte of a header to its last
+  duration mBodyTimeout = 30s;               ///< from the end of the header to the end of the body
+  duration mIdleTimeout = 30s;               ///< between requests
+  duration mWriteTimeout = 10s;              ///< a caller that does not read is dropped after it
+};
+
+/// A request that was read whole. Trailers of a chunked body are left out.
+struct inbound_request
+{
+  std::string mMethod;
+  std::string mTarget;
+  http::fields mHeader;
+  std::string mBody;
+  time_point mArrived{}; ///< when the first byte of the header was there
+};
+
+using outbound_answer = http::response<http::string_body>;
+
+/// The caller's side of a request, through which a handler answers it exactly once.
+class caller_connection : public std::enable_shared_from_this<caller_connection>
+{
+public:
+  caller_connection(tcp::socket aSocket, const caller_limits& aLimits);
+
+  /// Sends a whole answer. `Content-Length` is set here. Returns the failure of the write, if any.
+  task<error_code> Answer(outbound_answer& aAnswer);
+
+  /// Sends the header of an answer whose body follows in parts.
+  task<error_code> StartBody(const http::response_header<>& aHeader);
+  /// Sends a part of the body.
+  task<error_code> WriteBody(std::string_view aBytes);
+  /// Sends the end that makes the body complete.
+  task<error_code> FinishBody();
+  /// Closes the connection so that a started answer does not look complete.
+  void Break();
+
+  /// Whether the caller has closed the connection while its request was under way.
+  bool IsGone() const { return mIsGone; }
+  /// Calls `aAction` once when the caller closes the connection.
+  void OnGone(std::function<void()> aAction);
+
+  asio::any_io_executor Executor() { return mSocket.get_executor(); }
+
+private:
+  friend class http_server;
+
+  void Watch();
+  void SetGone();
+
+  tcp::socket mSocket;
+  watchdog mWatchdog;
+  beast::flat_buffer mBuffer;
+  const caller_limits& mLimits;
+  std::function<void()> mOnGone;
+  bool mIsGone = false;
+  bool mIsWatched = false;  ///< a wait for readability is pending
+  bool mHasRequest = false; ///< a request was read and not answered yet
+  bool mIsIdle = true;      ///< no byte of a request has been read
+  bool mKeepAlive = true;
+  bool mIsHead = false;
+  bool mIsChunked = false;
+};
+
+/// Answers one request.
+using request_handler =
+  std::function<task<>(std::shared_ptr<caller_connection>, std::shared_ptr<inbound_request>)>;
+
+/// Answers that the server gives by itself.
+enum class protocol_refusal
+{
+  BadRequest,
+  HeaderTooLarge,
+  BodyTooLarge,
+  Timeout,
+};
+
+/// Options of a server.
+struct http_server_options
+{
+  tcp::endpoint mAddress;
+  const caller_limits* mLimits = nullptr; ///< read at each request; outlives the server
+  request_handler mHandler;
+  /// Told of each request that the server refused by itself; may be empty.
+  std::function<void(protocol_refusal)> mOnRefusal;
+};
+
+/// An HTTP/1.1 server on the event loop: keep-alive, pipelining, bodies with a length or chunked.
+class http_server
+{
+public:
+  /// Binds the address. Throws `boost::system::system_error` when it is taken.
+  http_server(asio::io_context& aLoop, http_server_options aOptions);
+
+  void Start();
+  /// Ends the wait for new connections and closes the listening socket.
+  void StopAccepting();
+  /// From now on each answer ends its connection; connections without a request stay open until
+  /// `CloseIdle`, since a request may be on its way.
+  void Drain();
+  /// Closes the connections that wait for a request. Returns how many stay open.
+  std::size_t CloseIdle();
+  /// Closes all connections.
+  void CloseAll();
+
+  std::size_t Connections() const { return mConnections.size(); }
+
+private:
+  task<> Accept();
+  task<> Serve(std::shared_ptr<caller_connection> aConnection);
+  task<bool> ServeOne(std::shared_ptr<caller_connection> aConnection);
+  task<> Refuse(caller_connection& aConnection, protocol_refusal aRefusal);
+
+  tcp::acceptor mAcceptor;
+  http_server_options mOptions;
+  std::unordered_set<caller_connection*> mConnections;
+  bool mDraining = false;
+};
+
+} // namespace tamarackweir::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,62 @@
+#include "net/loop.h"
+
+#include "base/error.h"
+#include "observe/event_log.h"
+
+#include <charconv>
+#include <ctime>
+
+namespace tamarackweir::net {
+
+time_point Now()
+{
+  timespec value{};
+  clock_gettime(CLOCK_BOOTTIME, &value);
+  return time_point{ std::chrono::duration_cast<duration>(std::chrono::seconds(value.tv_sec) +
+                                                          std::chrono::nanoseconds(value.tv_nsec)) };
+}
+
+task<> SleepFor(asio::any_io_executor aExecutor, duration aDelay)
+{
+  asio::steady_timer timer(aExecutor, aDelay);
+  error_code ignoredCancel;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignoredCancel));
+}
+
+void Spawn(asio::any_io_executor aExecutor, const char* aName, task<> aTask)
+{
+  asio::co_spawn(aExecutor, std::move(aTask), [aName](std::exception_ptr aFailure) {
+    if (aFailure == nullptr) {
+      return;
+    }
+    try {
+      std::rethrow_exception(aFailure);
+    } catch (const std::exception& failure) {
+      observe::event_line("task_failed").Text("task", aName).Text("reason", failure.what()).Write();
+    }
+  });
+}
+
+tcp::endpoint ParseEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  std::uint16_t port = 0;
+  error_code failure;
+  asio::ip::address address;
+  if (colon != std::string::npos) {
+    address = asio::ip::make_address(aText.substr(0, colon), failure);
+    const char* const begin = aText.data() + colon + 1;
+    const char* const end = aText.data() + aText.size();
+    const auto [last, status] = std::from_chars(begin, end, port);
+    if (status != std::errc{} || last != end) {
+      port = 0;
+    }
+  }
+  if (failure || port == 0) {
+    throw error(error_kind::InvalidInput, "'" + aText + "' is not an address",
+                "write it as IP:PORT");
+  }
+  return { address, port };
+}
+
+} // namespace tamarackweir::net
--- a/src/entry/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -1,4 +1,4 @@
-#include "entry/metrics.h"
+#include "observe/metrics.h"
 
 #include <array>
 // extended_p_square_quantile.hpp of Boost 1.74 uses std::ostringstream without including it.
@@ -11,7 +11,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 #include <limits>
 
-namespace tamarackweir::entry {
+namespace tamarackweir::observe {
 
 namespace accumulators = boost::accumulators;
 
@@ -118,4 +118,4 @@
   return out.str();
 }
 
-} // namespace tamarackweir::entry
+} // namespace tamarackweir::observe
--- a/src/entry/metrics.h
+++ b/src/observe/metrics.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <string>
 
-namespace tamarackweir::entry {
+namespace tamarackweir::observe {
 
 /// Labels of a time series, name to value.
 using labels = std::map<std::string, std::string>;
@@ -39,4 +39,4 @@
   std::map<std::string, std::map<labels, std::unique_ptr<summary>>> mSummaries;
 };
 
-} // namespace tamarackweir::entry
+} // namespace tamarackweir::observe
--- a/src/entry/metrics_test.cpp
+++ b/src/observe/metrics_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/metrics.h"
+#include "observe/metrics.h"
 
 #include <doctest/doctest.h>
 
--- a/src/overload/retry.cpp
+++ b/src/overload/retry.cpp
@@ -33,7 +33,7 @@
   const auto sum = [](const auto& aSlots) {
     return std::accumulate(aSlots.begin(), aSlots.end(), 0.0);
   };
-  const double allowed = aBudget.mRatio * sum(aBudget.mRequests);
+  const double allowed = aBudget.mRatio * sum(aBudget.mRequests) + aBudget.mSlack;
   const bool isUnused = aBudget.mRatio > 0 && sum(aBudget.mRetries) < 1;
   if (!isUnused && sum(aBudget.mRetries) + 1 > allowed) {
     return false;
--- a/src/overload/retry.h
+++ b/src/overload/retry.h
@@ -15,6 +15,7 @@
   static constexpr std::size_t kSlots = 10;
 
   double mRatio = 0.1; ///< setting `retry_budget`
+  double mSlack = 0;   ///< retries of 10 s that need no request
   std::array<std::uint32_t, kSlots> mRequests{};
   std::array<std::uint32_t, kSlots> mRetries{};
   std::int64_t mSecond = 0; ///< the second of the newest slot
--- /dev/null
+++ b/src/placement/choose.cpp
@@ -0,0 +1,151 @@
+#include "placement/choose.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace tamarackweir::placement {
+
+namespace {
+
+std::uint64_t Mix(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  // The finaliser of SplitMix64 over both values.
+  std::uint64_t value = aLeft ^ (aRight + 0x9e3779b97f4a7c15ULL + (aLeft << 6U) + (aLeft >> 2U));
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31U);
+}
+
+std::uint64_t ReadKey(std::uint64_t aServer, std::uint64_t aModel, std::uint64_t aPart)
+{
+  return Mix(Mix(aServer, aModel), aPart);
+}
+
+/// The last part that other requests share; 0 if the prompt has none.
+std::uint64_t SharedKey(const demand& aDemand)
+{
+  if (aDemand.mParts.empty()) {
+    return 0;
+  }
+  const std::size_t last = aDemand.mParts.size() > 1 ? aDemand.mParts.size() - 2 : 0;
+  return aDemand.mParts[last].mId;
+}
+
+/// Tokens that the server has to read: everything behind the first part that it does not hold.
+std::int64_t UnreadTokens(const demand& aDemand, std::uint64_t aServer, const prompt_memory& aMemory,
+                          const choice_options& aOptions, time_point aNow)
+{
+  std::int64_t unread = 0;
+  bool isHeld = true;
+  for (const prompt_part& part : aDemand.mParts) {
+    if (isHeld) {
+      const auto read = aMemory.mReadAt.find(ReadKey(aServer, aDemand.mModelHash, part.mId));
+      isHeld = read != aMemory.mReadAt.end() && aNow - read->second < aOptions.mPromptLifetime;
+    }
+    if (!isHeld) {
+      unread += part.mTokens;
+    }
+  }
+  return unread;
+}
+
+struct scored
+{
+  backends::server_pointer mServer;
+  double mCostMs = 0;
+  std::int64_t mUnread = 0;
+  std::uint64_t mServerHash = 0;
+};
+
+} // namespace
+
+choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prompt_memory& aMemory,
+              const choice_options& aOptions, std::mt19937_64& aRandom, time_point aNow)
+{
+  choice result;
+  const std::uint64_t shared = SharedKey(aDemand);
+  std::vector<scored> candidates;
+  std::uint64_t bestWeight = 0;
+  std::size_t first = 0;
+  bool wasTried = false;
+  for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
+    if (server->mAnnounced.mIsLeaving || !aDemand.mIsAllowed(*server)) {
+      continue;
+    }
+    if (aDemand.mTried != nullptr &&
+        std::find(aDemand.mTried->begin(), aDemand.mTried->end(), server->mAnnounced.mId) !=
+          aDemand.mTried->end()) {
+      wasTried = true;
+      continue;
+    }
+    const std::uint64_t hash = StableHash(server->mAnnounced.mId.Value());
+    const std::uint64_t weight = Mix(shared, hash);
+    if (weight >= bestWeight) {
+      bestWeight = weight;
+      first = candidates.size();
+    }
+    candidates.push_back(scored{ .mServer = server, .mServerHash = hash });
+  }
+  result.mCandidates = candidates.size();
+  if (candidates.empty()) {
+    result.mReason = wasTried ? no_choice::AllTried : no_choice::NoServers;
+    return result;
+  }
+
+  std::uniform_real_distribution<double> jitter(0.0, aOptions.mRequestMs / 2);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    scored& candidate = candidates[i];
+    const backends::backend_server& server = *candidate.mServer;
+    double cost = jitter(aRandom);
+    if (!aDemand.mParts.empty()) {
+      candidate.mUnread = UnreadTokens(aDemand, candidate.mServerHash, aMemory, aOptions, aNow);
+      cost += static_cast<double>(candidate.mUnread) * aDemand.mReadCost / aOptions.mReadTokensPerMs;
+      cost += server.mUnreadTokens / aOptions.mReadTokensPerMs;
+      cost += i == first ? 0 : aOptions.mAffinityMs;
+    }
+    cost += server.mInFlight * aOptions.mRequestMs * (aDemand.mParts.empty() ? 4 : 1);
+    cost += backends::ValueAt(server.mDelay, backends::kDelayMemory, aNow);
+    cost += backends::FailureShare(server, aNow) * aOptions.mFailureMs;
+    cost += server.mAnnounced.mDataCentre == aDemand.mDataCentre ? 0 : aOptions.mOtherDataCentreMs;
+    candidate.mCostMs = cost;
+  }
+  // Usable servers go before missing and cold ones, and those before suspects.
+  const auto rank = [aNow](const scored& aCandidate) {
+    const backends::backend_server& server = *aCandidate.mServer;
+    return aNow < server.mSuspectUntil ? 2 : backends::IsCold(server, aNow) || server.mMissingSince ? 1 : 0;
+  };
+  std::sort(candidates.begin(), candidates.end(), [&rank](const scored& aLeft, const scored& aRight) {
+    const int leftRank = rank(aLeft);
+    const int rightRank = rank(aRight);
+    return leftRank != rightRank ? leftRank < rightRank : aLeft.mCostMs < aRight.mCostMs;
+  });
+  for (const scored& candidate : candidates) {
+    if (backends::IsCold(*candidate.mServer, aNow) && !aDemand.mTakeColdPlace(*candidate.mServer)) {
+      continue;
+    }
+    result.mServer = candidate.mServer;
+    result.mCostMs = candidate.mCostMs;
+    result.mUnreadTokens = candidate.mUnread;
+    return result;
+  }
+  result.mReason = no_choice::ColdOnly;
+  return result;
+}
+
+void RecordRead(prompt_memory& aMemory, const server_id& aServer, const demand& aDemand,
+                const choice_options& aOptions, time_point aNow)
+{
+  const std::uint64_t server = StableHash(aServer.Value());
+  for (const prompt_part& part : aDemand.mParts) {
+    aMemory.mReadAt[ReadKey(server, aDemand.mModelHash, part.mId)] = aNow;
+  }
+  if (aMemory.mReadAt.size() > aMemory.mMaxEntries) {
+    std::erase_if(aMemory.mReadAt, [&](const auto& aEntry) {
+      return aNow - aEntry.second >= aOptions.mPromptLifetime;
+    });
+  }
+}
+
+} // namespace tamarackweir::placement
--- /dev/null
+++ b/src/placement/choose.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "backends/fleet.h"
+
+#include <functional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackweir::placement {
+
+/// A part of a prompt; parts are shared between requests, apart from the last one.
+struct prompt_part
+{
+  std::uint64_t mId = 0; ///< hash of the part's id
+  std::int64_t mTokens = 0;
+};
+
+/// What the choice of a backend server depends on.
+struct demand
+{
+  service_id mService;
+  std::uint64_t mModelHash = 0; ///< cached parts are of use to the same model only
+  std::vector<prompt_part> mParts;
+  double mReadCost = 1; ///< time to read a token, relative to a model of ordinary size
+  data_centre_id mDataCentre; ///< of this instance
+  const std::vector<server_id>* mTried = nullptr; ///< servers that this request has tried
+  /// Whether the request may go to the server at all: version, evacuation, region.
+  std::function<bool(const backends::backend_server&)> mIsAllowed;
+  /// Asked for a cold server only, and only if it is the choice.
+  std::function<bool(backends::backend_server&)> mTakeColdPlace;
+};
+
+/// What this instance knows of prompts that servers have read.
+struct prompt_memory
+{
+  /// When a server last read a part for a model, by a hash of the three.
+  std::unordered_map<std::uint64_t, time_point> mReadAt;
+  std::size_t mMaxEntries = 50'000; ///< about 3 MB; it is emptied of old entries above
+};
+
+/// Weights of the choice.
+struct choice_options
+{
+  double mReadTokensPerMs = 32;    ///< speed of an engine at reading prompts, from the engines' sheet
+  duration mPromptLifetime = 9s;   ///< after its last use a shared part is taken as forgotten
+  double mRequestMs = 6;           ///< delay by a request that is under way; a step of an engine
+  double mFailureMs = 3000;        ///< weight of a server that fails every time
+  double mOtherDataCentreMs = 1;   ///< way to another data centre and back
+  double mAffinityMs = 40;         ///< for servers that are not the first by rendezvous hashing
+};
+
+/// Why no server was chosen.
+enum class no_choice
+{
+  None,       ///< there was one
+  NoServers,  ///< none of the service may be used
+  AllTried,   ///< this request has tried them all
+  ColdOnly,   ///< those left are cold and take no more now
+};
+
+struct choice
+{
+  backends::server_pointer mServer; ///< null: none, see `mReason`
+  no_choice mReason = no_choice::None;
+  std::size_t mCandidates = 0;
+  double mCostMs = 0;
+  std::int64_t mUnreadTokens = 0; ///< of the prompt, that the server is thought not to hold
+};
+
+/// Picks the server with the least expected delay: the part of the prompt that it has not read, what
+/// it has to do for others, and how it fared lately. Servers that are suspect or cold are used when
+/// there is no other.
+choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prompt_memory& aMemory,
+              const choice_options& aOptions, std::mt19937_64& aRandom, time_point aNow);
+
+/// Notes that the server reads the prompt now.
+void RecordRead(prompt_memory& aMemory, const server_id& aServer, const demand& aDemand,
+                const choice_options& aOptions, time_point aNow);
+
+} // namespace tamarackweir::placement
--- /dev/null
+++ b/src/replica/table_copy.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/strong_type.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarackweir::replica {
+
+/// Position in the store's single order of transactions; 0 before the first.
+using store_version = strong_type<struct store_version_tag, std::uint64_t>;
+
+/// A row as the store held it.
+struct row
+{
+  std::string mValue; ///< bytes as written
+  store_version mVersion;
+
+  bool operator==(const row&) const = default;
+};
+
+/// A copy of one table of the store.
+struct table_copy
+{
+  std::map<std::string, row> mRows; ///< by key
+  store_version mCompleteTo;        ///< every change up to here is in; 0: nothing is known
+  store_version mLastChange;        ///< at or above the last change of the table that is in
+
+  /// Whether the table was ever read.
+  bool IsKnown() const { return mCompleteTo.Value() > 0; }
+};
+
+/// A row that was written or removed.
+struct row_change
+{
+  std::string mKey;
+  std::optional<std::string> mValue; ///< absent: removed
+  store_version mVersion;
+};
+
+/// Replaces the copy by a newer one, from the store or a peer. Returns false, and changes nothing,
+/// unless `aNewer` is complete to a higher version: a copy never goes back.
+bool Replace(table_copy& aCopy, table_copy aNewer);
+
+/// Applies changes that follow the copy, up to `aCompleteTo`. A change that is not newer than the
+/// row that it names is skipped.
+void Apply(table_copy& aCopy, const std::vector<row_change>& aChanges, store_version aCompleteTo);
+
+} // namespace tamarackweir::replica
--- /dev/null
+++ b/src/rollout/shift.cpp
@@ -0,0 +1,185 @@
+#include "rollout/shift.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackweir::rollout {
+
+namespace {
+
+/// Probability of at least `aHits` in `aTrials` at `aRate`.
+double BinomialTail(std::uint64_t aTrials, std::uint64_t aHits, double aRate)
+{
+  double logTerm = static_cast<double>(aTrials) * std::log1p(-aRate);
+  double below = 0;
+  for (std::uint64_t k = 0; k < aHits; ++k) {
+    below += std::exp(logTerm);
+    logTerm += std::log(static_cast<double>(aTrials - k)) - std::log(static_cast<double>(k + 1)) +
+               std::log(aRate) - std::log1p(-aRate);
+  }
+  return std::max(0.0, 1 - below);
+}
+
+struct side_counts
+{
+  counts mOld;
+  counts mNew;
+  std::map<server_id, counts> mNewByServer;
+};
+
+void AddCounts(counts& aTo, const counts& aFrom)
+{
+  aTo.mGood += aFrom.mGood;
+  aTo.mBad += aFrom.mBad;
+}
+
+void AddResults(std::map<std::string, side_counts>& aByRoute, const shift_results& aResults)
+{
+  for (const auto& [key, result] : aResults) {
+    // The entry without a name holds all routes together.
+    for (const std::string& route : { key.mRoute, std::string() }) {
+      side_counts& sides = aByRoute[route];
+      AddCounts(key.mIsNew ? sides.mNew : sides.mOld, result);
+      if (key.mIsNew) {
+        AddCounts(sides.mNewByServer[key.mServer], result);
+      }
+    }
+  }
+}
+
+bool IsWorse(const counts& aOld, const counts& aNew, const shift_options& aOptions)
+{
+  const std::uint64_t trials = aNew.mGood + aNew.mBad;
+  if (aNew.mBad == 0) {
+    return false;
+  }
+  const double oldRate = (static_cast<double>(aOld.mBad) + 0.5) /
+                         (static_cast<double>(aOld.mGood + aOld.mBad) + 1);
+  // With few results of the old version its rate says nothing yet.
+  constexpr std::uint64_t kMinOldResults = 30;
+  const double known = aOld.mGood + aOld.mBad >= kMinOldResults ? oldRate * aOptions.mOddsFactor : 0;
+  const double rate = std::clamp(known, aOptions.mBadRateFloor, 0.9);
+  return BinomialTail(trials, aNew.mBad, rate) < aOptions.mSignificance;
+}
+
+bool IsWorseWithoutWorstServer(const side_counts& aSides, const shift_options& aOptions)
+{
+  if (!IsWorse(aSides.mOld, aSides.mNew, aOptions)) {
+    return false;
+  }
+  const auto worst = std::max_element(
+    aSides.mNewByServer.begin(), aSides.mNewByServer.end(),
+    [](const auto& aLeft, const auto& aRight) { return aLeft.second.mBad < aRight.second.mBad; });
+  const counts rest{ .mGood = aSides.mNew.mGood - worst->second.mGood,
+                     .mBad = aSides.mNew.mBad - worst->second.mBad };
+  return rest.mBad >= 2 || aSides.mNew.mBad >= aOptions.mCertainFailures;
+}
+
+} // namespace
+
+double Elapsed(const shift& aShift, time_point aNow)
+{
+  const double length = std::max(1e-3, std::chrono::duration<double>(aShift.mOrder.mDuration).count());
+  return std::max(0.0, std::chrono::duration<double>(aNow - aShift.mStarted).count() / length);
+}
+
+double NewShare(const shift& aShift, const shift_options& aOptions, time_point aNow)
+{
+  if (aShift.mProgress && aShift.mProgress->mPhase == shift_phase::Succeeded) {
+    return 1;
+  }
+  if (!IsRunning(aShift)) {
+    return 0;
+  }
+  const double elapsed = Elapsed(aShift, aNow);
+  if (elapsed < aOptions.mTrialEnd) {
+    return aOptions.mTrialShare;
+  }
+  if (elapsed < aOptions.mFirstStepEnd) {
+    return aOptions.mFirstStepShare;
+  }
+  return elapsed < aOptions.mSecondStepEnd ? aOptions.mSecondStepShare : 1;
+}
+
+side PickSide(const shift& aShift, const shift_options& aOptions, double aPoint,
+              std::optional<std::uint64_t> aSession, session_pins& aPins, time_point aNow)
+{
+  const double share = NewShare(aShift, aOptions, aNow);
+  bool isNew = aPoint < share;
+  if (!aSession) {
+    return isNew ? side::New : side::Old;
+  }
+  const auto pin = aPins.find(*aSession);
+  const bool isUnderWay =
+    pin != aPins.end() && aNow - pin->second.mLastActive < aOptions.mSessionGap;
+  if (isUnderWay && IsRunning(aShift)) {
+    if (pin->second.mIsNew) {
+      isNew = true;
+    } else if (Elapsed(aShift, aNow) < aOptions.mTrialEnd) {
+      isNew = false;
+    }
+  }
+  aPins[*aSession] = session_pin{ .mIsNew = isNew, .mLastActive = aNow };
+  return isNew ? side::New : side::Old;
+}
+
+bool IsRunning(const shift& aShift)
+{
+  return !aShift.mIsHalted &&
+         (!aShift.mProgress || aShift.mProgress->mPhase == shift_phase::Running);
+}
+
+void Record(shift& aShift, const result_key& aKey, bool aGood)
+{
+  counts& result = aShift.mOwn[aKey];
+  ++(aGood ? result.mGood : result.mBad);
+}
+
+void MergeResults(shift& aShift, const std::string& aInstance, const shift_results& aResults)
+{
+  shift_results& known = aShift.mOthers[aInstance];
+  for (const auto& [key, result] : aResults) {
+    counts& entry = known[key];
+    entry.mGood = std::max(entry.mGood, result.mGood);
+    entry.mBad = std::max(entry.mBad, result.mBad);
+  }
+}
+
+bool IsBad(const shift& aShift, const shift_options& aOptions)
+{
+  std::map<std::string, side_counts> byRoute;
+  AddResults(byRoute, aShift.mOwn);
+  for (const auto& [instance, results] : aShift.mOthers) {
+    AddResults(byRoute, results);
+  }
+  return std::any_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
+    return IsWorseWithoutWorstServer(aEntry.second, aOptions);
+  });
+}
+
+std::optional<shift_phase> NextPhase(const shift& aShift, const shift_options& aOptions,
+                                     time_point aNow)
+{
+  if (aShift.mProgress && aShift.mProgress->mPhase != shift_phase::Running) {
+    return std::nullopt;
+  }
+  if (aShift.mIsHalted) {
+    return shift_phase::RolledBack;
+  }
+  if (!aShift.mProgress) {
+    return shift_phase::Running;
+  }
+  if (Elapsed(aShift, aNow) >= aOptions.mSuccessAt) {
+    return shift_phase::Succeeded;
+  }
+  return std::nullopt;
+}
+
+void ForgetSessions(session_pins& aPins, duration aGap, time_point aNow)
+{
+  std::erase_if(aPins, [&](const auto& aEntry) {
+    return aNow - aEntry.second.mLastActive > 2 * aGap;
+  });
+}
+
+} // namespace tamarackweir::rollout
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackweir::routing {
+
+/// A group of data centres.
+using region_id = strong_type<struct region_tag, std::string>;
+/// Rank of a request; 0 is the most urgent.
+using urgency = strong_type<struct urgency_tag, int>;
+
+/// What may be repeated of a call.
+enum class call_kind
+{
+  Idempotent, ///< may run more than once
+  RunOnce,    ///< runs at most once
+  Stream,     ///< a stream of events; runs at most once unless the route lets it be resumed
+};
+
+/// A service that takes a part of a route's requests.
+struct service_share
+{
+  service_id mService;
+  double mWeight = 1; ///< relative to the other services of the route
+};
+
+/// Where requests of one host and path prefix go, and within which bounds.
+struct route
+{
+  std::string mName;
+  std::string mHost;
+  std::string mPrefix; ///< begins and ends with a slash
+  call_kind mKind = call_kind::RunOnce;
+  std::vector<service_share> mServices;
+  std::vector<model_id> mSizes; ///< models to choose from, smallest first; empty: the caller names one
+  duration mTimeout = 30s;      ///< the caller has its final answer by then
+  duration mTargetLatency = 1s; ///< to the answer, of a stream to its first event
+  duration mTargetGap = 0s;     ///< longest pause between events; 0: none given
+  urgency mUrgency{ 5 };
+  int mMaxAttempts = 1; ///< backend servers on which one request may run
+  bool mAllowAnonymous = false;
+  bool mIsResumable = false; ///< a stream may go on at another backend server
+  std::vector<region_id> mRegions; ///< where the request may run; empty: anywhere
+};
+
+/// Price of a model.
+struct model_price
+{
+  model_id mModel;
+  double mPerThousandTokens = 0; ///< generated; tokens read cost a quarter
+};
+
+/// What is known of a service beside its backend servers.
+struct service
+{
+  service_id mId;
+  std::uint32_t mMaxConnections = 0; ///< of one backend server, from all callers; 0: not given
+  duration mColdStart = 0s;          ///< how long a backend server is cold after its start
+  double mColdRate = 0;              ///< requests/s that a cold backend server bears; 0: no bound
+  std::uint32_t mEngineSlots = 0;    ///< requests that an engine batches; 0: not an engine
+  std::int64_t mEngineTokens = 0;    ///< tokens that an engine's memory holds
+  std::vector<model_price> mModels;
+};
+
+/// A client account.
+struct account
+{
+  account_id mId;
+  std::optional<urgency> mUrgency; ///< goes before the route's
+  std::vector<region_id> mRegions;
+};
+
+/// Bounds on what callers send, from the configuration.
+struct ingress_limits
+{
+  std::uint32_t mMaxHeaderBytes = 16 * 1024;
+  std::uint64_t mMaxBodyBytes = 1024 * 1024;
+  duration mHeaderTimeout = 5s;
+  duration mIdleTimeout = 30s;
+};
+
+/// One version of the configuration, ready for look-ups. Immutable once built.
+struct route_table
+{
+  std::uint64_t mVersion = 0;
+  std::unordered_map<std::string, std::vector<route>> mHosts; ///< routes with longer prefixes first
+  std::unordered_map<service_id, service> mServices;
+  std::unordered_map<std::string, account> mAccountsByKey;
+  bool mHasAccounts = false; ///< callers need a key
+  ingress_limits mLimits;
+};
+
+/// Adds a route; call `SortRoutes` after the last one.
+void AddRoute(route_table& aTable, route aRoute);
+/// Puts the routes of each host into the order of look-up.
+void SortRoutes(route_table& aTable);
+
+/// Why a request is not let in.
+enum class denial
+{
+  NoRoute,
+  UnknownKey,
+};
+
+/// Outcome of a look-up. The pointers live as long as the table.
+struct resolution
+{
+  const route* mRoute = nullptr; ///< null: denied
+  const account* mAccount = nullptr; ///< null: anonymous
+  denial mDenial = denial::NoRoute;
+};
+
+/// Finds the route by host and longest prefix, then the client account by its key.
+/// \param aHost as sent; letter case and a port are ignored
+/// \param aPath target of the request; a query is ignored
+/// \param aKey empty: the caller sent none
+resolution Resolve(const route_table& aTable, std::string_view aHost, std::string_view aPath,
+                   std::string_view aKey);
+
+/// The service that takes a request, by weight.
+/// \param aPoint uniform in [0, 1); the same point keeps the same service
+const service_id& PickService(const route& aRoute, double aPoint);
+
+} // namespace tamarackweir::routing
