--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -187,12 +187,13 @@
   const replica::news_question question = replica::DecodeQuestion(aRequest->mBody);
   const time_point end = net::Now() + std::min(question.mWait, kLongestWait);
   while (true) {
-    replica::news_answer answer = replica::AnswerFor(mTables, question, mState.mIsStoreLost);
+    // An instance that stops is soon gone, so those who follow it go to another.
+    const bool isOfNoUse = mState.mIsStoreLost || mState.mIsStopping;
+    replica::news_answer answer = replica::AnswerFor(mTables, question, isOfNoUse);
     if (mState.mStoreReturnedAt) {
       answer.mStoreReturnedAgo = net::Now() - *mState.mStoreReturnedAt;
     }
-    if (!answer.mUpdates.empty() || answer.mIsStoreLost || net::Now() >= end ||
-        mState.mIsStopping) {
+    if (!answer.mUpdates.empty() || isOfNoUse || net::Now() >= end) {
       co_return replica::EncodeAnswer(answer);
     }
     net::asio::steady_timer wait(mLoop, end - net::Now());
