--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -27,6 +27,13 @@
 
 constexpr duration kAcceptRetryDelay = 20ms; ///< after a lack of descriptors
 
+/// Whether the bytes were no request, as opposed to a connection that ended in the middle of one.
+bool IsMalformed(const error_code& aFailure)
+{
+  return aFailure.category() == make_error_code(http::error::bad_method).category() &&
+         aFailure != http::error::partial_message;
+}
+
 http::status StatusOf(protocol_refusal aRefusal)
 {
   switch (aRefusal) {
@@ -289,9 +296,7 @@
     co_return false;
   }
   if (failure) {
-    const bool isMalformed =
-      failure.category() == make_error_code(http::error::bad_method).category();
-    if (isMalformed && failure != http::error::partial_message) {
+    if (IsMalformed(failure)) {
       co_await Refuse(connection, protocol_refusal::BadRequest);
     }
     co_return false;
@@ -330,9 +335,7 @@
       co_return false;
     }
     if (failure) {
-      const bool isMalformed =
-        failure.category() == make_error_code(http::error::bad_method).category();
-      if (isMalformed && failure != http::error::partial_message) {
+      if (IsMalformed(failure)) {
         co_await Refuse(connection, protocol_refusal::BadRequest);
       }
       co_return false;
