Let a shift go on only when each route has results enough

Now the collectors write that a shift has passed once each route has 12 results and none is suspicious; until then it stays at the probe's share, and one that is still suspicious when it has to pass, or to succeed, is rolled back unless one of several servers fails.

Also: an instance that does not take results is passed over for 3 s, so removed collectors do not leave a roll-out without a verdict (path test). Rendezvous hashing stands once, in base.

--- a/src/backends/fleet.cpp
+++ b/src/backends/fleet.cpp
@@ -1,6 +1,6 @@
 #include "backends/fleet.h"
 
-#include "base/digest.h"
+#include "base/rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
@@ -179,15 +179,8 @@
   if (aShare.mRate <= 0) {
     return true;
   }
-  const std::string& server = aServer.mAnnounced.mId.Value();
-  const auto weight = [&server](const std::string& aInstance) {
-    return StableHash(server, StableHash(aInstance));
-  };
-  const std::uint64_t own = weight(aShare.mSelf);
-  const auto ahead = std::count_if(
-    aShare.mInstances.begin(), aShare.mInstances.end(),
-    [&](const std::string& aOther) { return aOther != aShare.mSelf && weight(aOther) > own; });
-  if (static_cast<std::size_t>(ahead) >= kColdSenders) {
+  if (InstancesBefore(aShare.mInstances, aServer.mAnnounced.mId.Value(), aShare.mSelf) >=
+      kColdSenders) {
     return false;
   }
   const double rate = aShare.mRate / static_cast<double>(kColdSenders);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,7 +1,7 @@
 #include "gateway/peers.h"
 
-#include "base/digest.h"
 #include "base/error.h"
+#include "base/rendezvous.h"
 #include "gateway/call.h"
 #include "net/http_call.h"
 #include "observe/event_log.h"
@@ -19,23 +19,20 @@
 
 constexpr duration kPullLimit = 600ms; ///< for a table of a few hundred rows over a slow link
 constexpr duration kPushLimit = 400ms;
-constexpr duration kLongestWait = 10s; ///< that a peer may ask for
+constexpr duration kSilentPeerPause = 3s; ///< another collects until then
+constexpr duration kLongestWait = 10s;    ///< that a peer may ask for
 
 } // namespace
 
-std::vector<std::string> FirstInstances(const std::vector<std::string>& aInstances,
-                                        const std::string& aDuty, std::size_t aCount)
+std::vector<std::string> Collectors(const gateway_state& aState, const service_id& aService,
+                                    time_point aNow)
 {
-  std::vector<std::string> order = aInstances;
-  const auto weight = [&aDuty](const std::string& aInstance) {
-    return StableHash(aDuty, StableHash(aInstance));
-  };
-  std::sort(order.begin(), order.end(),
-            [&weight](const std::string& aLeft, const std::string& aRight) {
-              return weight(aLeft) > weight(aRight);
-            });
-  order.resize(std::min(order.size(), aCount));
-  return order;
+  std::vector<std::string> answering = aState.mInstances;
+  std::erase_if(answering, [&](const std::string& aInstance) {
+    const auto silent = aState.mSilentPeers.find(aInstance);
+    return silent != aState.mSilentPeers.end() && aNow < silent->second;
+  });
+  return FirstInstances(std::move(answering), aService.Value(), kCollectors);
 }
 
 peer_exchange::peer_exchange(net::asio::io_context& aLoop, gateway_state& aState,
@@ -140,8 +137,7 @@
                             .mOrder = order,
                             .mInstance = mState.mSelf.mId.Value() + "/" + mStart,
                             .mResults = shift->second.mOwn });
-  const std::vector<std::string> collectors =
-    FirstInstances(mState.mInstances, aService.Value(), kCollectors);
+  const std::vector<std::string> collectors = Collectors(mState, aService, net::Now());
   const std::vector<peer> peers = mPeers;
   for (const peer& other : peers) {
     if (std::find(collectors.begin(), collectors.end(), other.mId.Value()) == collectors.end()) {
@@ -154,8 +150,16 @@
     call.mBody = body;
     call.mLimit = kPushLimit;
     const net::http_result result = co_await net::Perform(mLoop.get_executor(), std::move(call));
+    if (result.mFailure) {
+      mState.mSilentPeers[other.mId.Value()] = net::Now() + kSilentPeerPause;
+      observe::event_line("collector_silent")
+        .Text("peer", other.mId.Value())
+        .Text("reason", result.mFailure.message())
+        .Write();
+      continue;
+    }
     const auto current = mState.mShifts.find(aService);
-    if (!result.mFailure && result.mBody == kHalted && current != mState.mShifts.end() &&
+    if (result.mBody == kHalted && current != mState.mShifts.end() &&
         current->second.mOrder.mOrder == order) {
       HaltShift(current->second, other.mId);
     }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -76,9 +76,9 @@
 /// one does not grow with their number; more than one, so that one may be down.
 inline constexpr std::size_t kCollectors = 3;
 
-/// The first `aCount` instances for a duty, by rendezvous hashing of its name; all instances that
-/// know the same others find the same ones.
-std::vector<std::string> FirstInstances(const std::vector<std::string>& aInstances,
-                                        const std::string& aDuty, std::size_t aCount);
+/// The instances that collect the results of a service's shift: those that all others find first,
+/// without those that lately did not answer this one.
+std::vector<std::string> Collectors(const gateway_state& aState, const service_id& aService,
+                                    time_point aNow);
 
 } // namespace tamarackweir::gateway
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -70,6 +70,8 @@
   std::map<service_id, rollout::shift> mShifts;
   backends::fleet mFleet;
   std::vector<std::string> mInstances; ///< ids of all instances, this one included
+  /// Instances that did not take results of a shift, until when they are passed over.
+  std::map<std::string, time_point> mSilentPeers;
 
   placement::prompt_memory mPrompts;
   std::unordered_map<service_id, overload::retry_budget> mBudgets;
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -47,7 +47,8 @@
   }
 }
 
-bool IsWorse(const counts& aOld, const counts& aNew, const shift_options& aOptions)
+bool IsWorse(const counts& aOld, const counts& aNew, const shift_options& aOptions,
+             double aSignificance)
 {
   const std::uint64_t trials = aNew.mGood + aNew.mBad;
   if (aNew.mBad == 0) {
@@ -60,20 +61,78 @@
   const double known =
     aOld.mGood + aOld.mBad >= kMinOldResults ? oldRate * aOptions.mOddsFactor : 0;
   const double rate = std::clamp(known, aOptions.mBadRateFloor, 0.9);
-  return BinomialTail(trials, aNew.mBad, rate) < aOptions.mSignificance;
+  return BinomialTail(trials, aNew.mBad, rate) < aSignificance;
 }
 
-bool IsWorseWithoutWorstServer(const side_counts& aSides, const shift_options& aOptions)
+/// Results of the new version without those of the server that has the most failures.
+counts ResultsElsewhere(const side_counts& aSides)
 {
-  if (!IsWorse(aSides.mOld, aSides.mNew, aOptions)) {
-    return false;
+  counts worst;
+  for (const auto& [server, result] : aSides.mNewByServer) {
+    if (result.mBad > worst.mBad) {
+      worst = result;
+    }
+  }
+  return { .mGood = aSides.mNew.mGood - worst.mGood, .mBad = aSides.mNew.mBad - worst.mBad };
+}
+
+bool IsWorseOnSeveralServers(const side_counts& aSides, const shift_options& aOptions)
+{
+  return IsWorse(aSides.mOld, aSides.mNew, aOptions, aOptions.mSignificance) &&
+         (ResultsElsewhere(aSides).mBad >= 2 || aSides.mNew.mBad >= aOptions.mCertainFailures);
+}
+
+/// The results of all instances that are known here, by route; the entry without a name holds all
+/// routes together.
+std::map<std::string, side_counts> PoolResults(const shift& aShift)
+{
+  std::map<std::string, side_counts> byRoute;
+  AddResults(byRoute, aShift.mOwn);
+  for (const auto& [instance, results] : aShift.mOthers) {
+    AddResults(byRoute, results);
   }
-  const auto worst = std::max_element(
-    aSides.mNewByServer.begin(), aSides.mNewByServer.end(),
-    [](const auto& aLeft, const auto& aRight) { return aLeft.second.mBad < aRight.second.mBad; });
-  const counts rest{ .mGood = aSides.mNew.mGood - worst->second.mGood,
-                     .mBad = aSides.mNew.mBad - worst->second.mBad };
-  return rest.mBad >= 2 || aSides.mNew.mBad >= aOptions.mCertainFailures;
+  return byRoute;
+}
+
+/// Whether the failures on a route, short of a proof, speak against the version.
+bool IsSuspicious(const side_counts& aSides, const shift_options& aOptions)
+{
+  const counts elsewhere = ResultsElsewhere(aSides);
+  const bool isOneServer = elsewhere.mBad == 0 && elsewhere.mGood >= aOptions.mRouteResults;
+  return !isOneServer && IsWorse(aSides.mOld, aSides.mNew, aOptions, aOptions.mRollBackAt);
+}
+
+bool IsSuspicious(const std::map<std::string, side_counts>& aByRoute, const shift_options& aOptions)
+{
+  return std::any_of(aByRoute.begin(), aByRoute.end(), [&aOptions](const auto& aEntry) {
+    return IsSuspicious(aEntry.second, aOptions);
+  });
+}
+
+std::optional<shift_phase> EndOfTrial(const shift& aShift, const shift_options& aOptions,
+                                      double aElapsed)
+{
+  const auto byRoute = PoolResults(aShift);
+  const bool mayPass = std::all_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
+    const side_counts& sides = aEntry.second;
+    return sides.mNew.mGood + sides.mNew.mBad >= aOptions.mRouteResults &&
+           !IsWorse(sides.mOld, sides.mNew, aOptions, aOptions.mHoldAt);
+  });
+  if (mayPass) {
+    return shift_phase::Passed;
+  }
+  if (aElapsed < aOptions.mPassAtLatest) {
+    return std::nullopt;
+  }
+  return IsSuspicious(byRoute, aOptions) ? shift_phase::RolledBack : shift_phase::Passed;
+}
+
+/// Fraction of the shift's duration at which it succeeds.
+double SuccessAt(const shift& aShift, const shift_options& aOptions)
+{
+  const double passed = Elapsed(aShift, *aShift.mPassedAt);
+  return std::clamp(passed + aOptions.mSecondStepLength + aOptions.mDrainLength,
+                    aOptions.mSuccessAt, aOptions.mSuccessAtLatest);
 }
 
 } // namespace
@@ -100,10 +159,12 @@
   if (elapsed < aOptions.mTrialEnd) {
     return aOptions.mTrialShare;
   }
-  if (elapsed < aOptions.mFirstStepEnd) {
-    return aOptions.mFirstStepShare;
+  if (!aShift.mPassedAt) {
+    return aOptions.mProbeShare;
   }
-  return elapsed < aOptions.mSecondStepEnd ? aOptions.mSecondStepShare : 1;
+  return elapsed - Elapsed(aShift, *aShift.mPassedAt) < aOptions.mSecondStepLength
+           ? aOptions.mSecondStepShare
+           : 1;
 }
 
 std::vector<std::uint64_t> SessionsToKeep(const shift_options& aOptions, const session_pins& aPins,
@@ -145,7 +206,8 @@
 bool IsRunning(const shift& aShift)
 {
   return !aShift.mIsHalted &&
-         (!aShift.mProgress || aShift.mProgress->mPhase == shift_phase::Running);
+         (!aShift.mProgress || aShift.mProgress->mPhase == shift_phase::Running ||
+          aShift.mProgress->mPhase == shift_phase::Passed);
 }
 
 void Record(shift& aShift, const result_key& aKey, bool aGood)
@@ -166,20 +228,17 @@
 
 bool IsBad(const shift& aShift, const shift_options& aOptions)
 {
-  std::map<std::string, side_counts> byRoute;
-  AddResults(byRoute, aShift.mOwn);
-  for (const auto& [instance, results] : aShift.mOthers) {
-    AddResults(byRoute, results);
-  }
+  const auto byRoute = PoolResults(aShift);
   return std::any_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
-    return IsWorseWithoutWorstServer(aEntry.second, aOptions);
+    return IsWorseOnSeveralServers(aEntry.second, aOptions);
   });
 }
 
 std::optional<shift_phase> NextPhase(const shift& aShift, const shift_options& aOptions,
-                                     time_point aNow)
+                                     evidence_scope aScope, time_point aNow)
 {
-  if (aShift.mProgress && aShift.mProgress->mPhase != shift_phase::Running) {
+  const shift_phase phase = aShift.mProgress ? aShift.mProgress->mPhase : shift_phase::Running;
+  if (phase == shift_phase::Succeeded || phase == shift_phase::RolledBack) {
     return std::nullopt;
   }
   if (aShift.mIsHalted) {
@@ -188,10 +247,22 @@
   if (!aShift.mProgress) {
     return shift_phase::Running;
   }
-  if (Elapsed(aShift, aNow) >= aOptions.mSuccessAt) {
+  const double elapsed = Elapsed(aShift, aNow);
+  if (phase == shift_phase::Running) {
+    return aScope == evidence_scope::Pooled && elapsed >= aOptions.mTrialEnd
+             ? EndOfTrial(aShift, aOptions, elapsed)
+             : std::nullopt;
+  }
+  const bool isDue = aShift.mPassedAt && elapsed >= SuccessAt(aShift, aOptions);
+  if (!isDue || (aScope == evidence_scope::Own && elapsed < aOptions.mDecideAt)) {
+    return std::nullopt;
+  }
+  if (!IsSuspicious(PoolResults(aShift), aOptions)) {
     return shift_phase::Succeeded;
   }
-  return std::nullopt;
+  return aScope == evidence_scope::Pooled && elapsed >= aOptions.mDecideAt
+           ? std::optional(shift_phase::RolledBack)
+           : std::nullopt;
 }
 
 void ForgetSessions(session_pins& aPins, duration aGap, time_point aNow)
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -29,6 +29,7 @@
 enum class shift_phase
 {
   Running,
+  Passed,     ///< runs on; the results allow the last steps
   Succeeded,  ///< the old version may stop
   RolledBack, ///< the new version gets nothing more
 };
@@ -39,6 +40,7 @@
   std::uint64_t mOrder = 0;
   shift_phase mPhase = shift_phase::Running;
   std::int64_t mStartedMs = 0; ///< on the store's clock
+  std::int64_t mPassedMs = 0;  ///< on the store's clock; 0: not yet
 };
 
 /// Course of a shift, as fractions of its duration, and the test of the new version.
@@ -46,14 +48,21 @@
 {
   double mTrialShare = 0.08; ///< of the sessions, in the first half; half of a usual exposure bound
   double mTrialEnd = 0.5;    ///< sessions keep their version until here
-  double mFirstStepShare = 0.3;
-  double mFirstStepEnd = 0.56;
-  double mSecondStepShare = 0.6;
-  double mSecondStepEnd = 0.62; ///< from here on everything goes to the new version
-  double mSuccessAt = 0.8;      ///< requests of the old version have ended by then
-  double mBadRateFloor = 0.02;  ///< a rate of failures that is borne in any version
-  double mOddsFactor = 2;       ///< the new version may fail this often, relative to the old one
-  double mSignificance = 1e-4;  ///< chance of so many failures of a version that is no worse
+  /// After the trial, until the results allow more.
+  double mProbeShare = 0.5;
+  double mSecondStepShare = 0.5;
+  double mSecondStepLength = 0.06; ///< after the shift has passed; then everything goes there
+  double mPassAtLatest = 0.74;     ///< a route without results holds the shift no longer
+  double mSuccessAt = 0.8;         ///< at the earliest
+  double mDrainLength = 0.12;      ///< requests of the old version have ended by then
+  double mSuccessAtLatest = 0.92;  ///< leaves time for the write
+  double mDecideAt = 0.95;         ///< a shift that is still suspicious is rolled back
+  double mBadRateFloor = 0.02;     ///< a rate of failures that is borne in any version
+  double mOddsFactor = 2;          ///< the new version may fail this often, relative to the old one
+  double mSignificance = 1e-4;     ///< chance of so many failures of a version that is no worse
+  double mHoldAt = 0.1;            ///< such a chance holds the shift at the probe's share
+  double mRollBackAt = 0.05;       ///< such a chance rolls it back once it would have to pass
+  std::uint64_t mRouteResults = 12; ///< of each route, to pass; half of them failing is then seen
   std::uint64_t mCertainFailures = 25; ///< failures that count even if they come from one server
   duration mSessionGap = 5s;           ///< a session that pauses for longer may change its version
   /// At first everything goes to the old version, until all instances know of the shift and of the
@@ -82,6 +91,7 @@
   shift_order mOrder;
   std::optional<shift_progress> mProgress; ///< absent: nobody has written it yet
   time_point mStarted{};                   ///< on this instance's clock
+  std::optional<time_point> mPassedAt;     ///< on this instance's clock
   bool mIsHalted = false; ///< the new version is taken for bad, whatever the store says
   shift_results mOwn;
   std::map<std::string, shift_results> mOthers; ///< newest results by instance and its start
@@ -142,9 +152,20 @@
 /// fault of its version.
 bool IsBad(const shift& aShift, const shift_options& aOptions);
 
+/// Whose results an instance knows.
+enum class evidence_scope
+{
+  Own,
+  Pooled, ///< of all instances
+};
+
 /// What is to be written to the store now, if anything.
+///
+/// A shift passes once each route has results enough and none of them is suspicious. One that is
+/// still suspicious when it has to pass is rolled back, unless only one of several servers fails.
+/// Only an instance with the results of all may say either.
 std::optional<shift_phase> NextPhase(const shift& aShift, const shift_options& aOptions,
-                                     time_point aNow);
+                                     evidence_scope aScope, time_point aNow);
 
 /// Removes the pins of sessions that ended.
 void ForgetSessions(session_pins& aPins, duration aGap, time_point aNow);
