Tell other instances what is under way at each server, and keep shared parts where they are

Cause: each of 62 to 74 instances saw a sixtieth of an engine's work, so placement was nearly blind (busiest server 1.65 times the mean), and a prompt that moved was read again.

--- a/src/backends/fleet.cpp
+++ b/src/backends/fleet.cpp
@@ -174,6 +174,17 @@
   return failures / (failures + successes + kPriorSuccesses);
 }
 
+int RequestsAt(const backend_server& aServer, time_point aNow)
+{
+  return aServer.mInFlight + (aNow <= aServer.mOthers.mUntil ? aServer.mOthers.mRequests : 0);
+}
+
+double UnreadTokensAt(const backend_server& aServer, time_point aNow)
+{
+  return aServer.mUnreadTokens +
+         (aNow <= aServer.mOthers.mUntil ? aServer.mOthers.mUnreadTokens : 0);
+}
+
 bool TakeColdPlace(backend_server& aServer, const cold_share& aShare, time_point aNow)
 {
   if (aShare.mRate <= 0) {
--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -58,6 +58,14 @@
   duration mUsual{}; ///< time that such an answer usually takes
 };
 
+/// What other instances have under way at a server, as they last told.
+struct others_load
+{
+  double mUnreadTokens = 0;
+  int mRequests = 0;
+  time_point mUntil{}; ///< it counts no longer afterwards
+};
+
 /// A backend server as this instance sees it.
 struct backend_server
 {
@@ -70,6 +78,7 @@
   int mInFlight = 0; ///< requests of this instance
   double mUnreadTokens =
     0; ///< prompt tokens of this instance's requests that have no first event yet
+  others_load mOthers;
   std::vector<const pending_answer*> mPending; ///< owned by the attempts
   time_point mSuspectUntil{};                  ///< not chosen before, if there is another
   int mSuspicions = 0;                         ///< in a row
@@ -114,6 +123,12 @@
 /// that is still awaited. Zero for a server that keeps its usual times.
 duration DelayOf(const backend_server& aServer, time_point aNow);
 
+/// Requests under way at the server, of all instances as far as known.
+int RequestsAt(const backend_server& aServer, time_point aNow);
+
+/// Prompt tokens that the server has to read, for all instances as far as known.
+double UnreadTokensAt(const backend_server& aServer, time_point aNow);
+
 /// Share of recent attempts that failed, from 0 to 1.
 double FailureShare(const backend_server& aServer, time_point aNow);
 
--- /dev/null
+++ b/src/gateway/load_exchange.cpp
@@ -0,0 +1,124 @@
+#include "gateway/load_exchange.h"
+
+#include "base/error.h"
+#include "base/rendezvous.h"
+#include "observe/event_log.h"
+
+#include <algorithm>
+
+namespace tamarackweir::gateway {
+
+namespace {
+
+/// Between two reports of an instance: an engine reads a long prompt in about this time.
+constexpr duration kTellPause = 200ms;
+/// Above this number of instances reports become rarer, so that those who take them keep up.
+constexpr std::size_t kInstancesAtFullRate = 80;
+constexpr std::size_t kMaxDatagramBytes = 16 * 1024; ///< totals of a thousand servers
+
+} // namespace
+
+load_exchange::load_exchange(net::asio::io_context& aLoop, gateway_state& aState)
+  : mLoop(aLoop)
+  , mState(aState)
+  , mSocket(aLoop)
+{
+}
+
+void load_exchange::Start(const net::tcp::endpoint& aAddress)
+{
+  const datagram_endpoint address(aAddress.address(), aAddress.port());
+  mSocket.open(address.protocol());
+  mSocket.non_blocking(true);
+  mSocket.bind(address);
+  net::Spawn(mLoop.get_executor(), "load_listen", Listen());
+  net::Spawn(mLoop.get_executor(), "load_tell", Tell());
+}
+
+net::task<> load_exchange::Tell()
+{
+  while (true) {
+    const std::size_t instances = mState.mInstances.size();
+    const std::size_t slowdown = 1 + instances / kInstancesAtFullRate;
+    co_await net::SleepFor(mLoop.get_executor(), kTellPause * static_cast<int>(slowdown));
+    const bool toAll = instances <= kAllTellAll;
+    const std::vector<std::string> told =
+      toAll ? mState.mInstances : FirstInstances(mState.mInstances, "load board", kBoards);
+    placement::load_message report{ .mInstance = mState.mSelf.mId.Value(),
+                                    .mLoads = placement::OwnLoads(mState.mFleet) };
+    ++mRounds;
+    bool isBoard = toAll;
+    for (std::size_t i = 0; i < told.size(); ++i) {
+      if (told[i] == mState.mSelf.mId.Value()) {
+        isBoard = true;
+        continue;
+      }
+      if (const auto peer = mPeers.find(told[i]); peer != mPeers.end()) {
+        report.mAsksForTotals = !toAll && mRounds % told.size() == i;
+        Send(report, peer->second);
+      }
+    }
+    if (isBoard) {
+      const time_point now = net::Now();
+      placement::ApplyTotals(mState.mFleet, placement::Totals(mBoard, "", now), now);
+    }
+  }
+}
+
+net::task<> load_exchange::Listen()
+{
+  std::string bytes(kMaxDatagramBytes, '\0');
+  while (true) {
+    datagram_endpoint sender;
+    net::error_code failure;
+    const std::size_t size = co_await mSocket.async_receive_from(
+      net::asio::buffer(bytes), sender,
+      net::asio::redirect_error(net::asio::use_awaitable, failure));
+    if (failure == net::asio::error::operation_aborted) {
+      co_return;
+    }
+    if (failure) {
+      observe::event_line("load_receive_failed").Text("reason", failure.message()).Write();
+      co_await net::SleepFor(mLoop.get_executor(), kTellPause);
+      continue;
+    }
+    Take(std::string_view(bytes).substr(0, size), sender);
+  }
+}
+
+void load_exchange::Take(std::string_view aBytes, const datagram_endpoint& aSender)
+{
+  try {
+    placement::load_message message = placement::DecodeLoads(aBytes);
+    const time_point now = net::Now();
+    if (message.mIsTotals) {
+      placement::ApplyTotals(mState.mFleet, message.mLoads, now);
+      return;
+    }
+    placement::TakeReport(mBoard, message.mInstance, std::move(message.mLoads), now);
+    if (message.mAsksForTotals) {
+      // The own loads are missing from the board.
+      placement::TakeReport(mBoard, mState.mSelf.mId.Value(), placement::OwnLoads(mState.mFleet),
+                            now);
+      Send({ .mInstance = mState.mSelf.mId.Value(),
+             .mIsTotals = true,
+             .mLoads = placement::Totals(mBoard, message.mInstance, now) },
+           aSender);
+      mBoard.mReports.erase(mState.mSelf.mId.Value());
+    }
+  } catch (const error& failure) {
+    observe::event_line("load_unreadable").Text("reason", failure.what()).Write();
+  }
+}
+
+void load_exchange::Send(const placement::load_message& aMessage, const datagram_endpoint& aTo)
+{
+  const std::string bytes = placement::Encode(aMessage);
+  net::error_code failure;
+  mSocket.send_to(net::asio::buffer(bytes), aTo, 0, failure);
+  if (failure) {
+    mState.mMetrics.Count("tamarackweir_load_reports_unsent_total");
+  }
+}
+
+} // namespace tamarackweir::gateway
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace tamarackweir::placement {
@@ -62,6 +63,79 @@
   std::uint64_t mServerHash = 0;
 };
 
+constexpr std::size_t kHolders = 3; ///< servers that may share a part that is asked for often
+
+/// A server by its rendezvous weight for a part.
+struct preferred
+{
+  std::uint64_t mWeight = 0;
+  std::size_t mCandidate = 0;
+};
+
+void Prefer(std::array<preferred, kHolders>& aHolders, preferred aCandidate)
+{
+  for (preferred& holder : aHolders) {
+    if (aCandidate.mWeight >= holder.mWeight) {
+      std::swap(holder, aCandidate);
+    }
+  }
+}
+
+/// Usable servers go before missing and cold ones, and those before suspects.
+int RankOf(const backends::backend_server& aServer, time_point aNow)
+{
+  if (aNow < aServer.mSuspectUntil) {
+    return 2;
+  }
+  return backends::IsCold(aServer, aNow) || aServer.mMissingSince ? 1 : 0;
+}
+
+/// Expected delay at a server, apart from the reading of the prompt.
+double WaitMs(const backends::backend_server& aServer, const demand& aDemand,
+              const choice_options& aOptions, time_point aNow)
+{
+  double wait = backends::RequestsAt(aServer, aNow) * aOptions.mRequestMs;
+  if (aDemand.mParts.empty()) {
+    wait *= aOptions.mPlainCallFactor;
+  } else {
+    wait += backends::UnreadTokensAt(aServer, aNow) / aOptions.mReadTokensPerMs;
+  }
+  wait += std::chrono::duration<double, std::milli>(backends::DelayOf(aServer, aNow)).count();
+  wait += std::max(0.0, backends::FailureShare(aServer, aNow) - aOptions.mBorneFailures) *
+          aOptions.mFailureMs;
+  if (aDemand.mUnreached != nullptr) {
+    wait += aOptions.mUnreachedMs *
+            static_cast<double>(std::count(aDemand.mUnreached->begin(), aDemand.mUnreached->end(),
+                                           aServer.mAnnounced.mDataCentre));
+  }
+  return wait +
+         (aServer.mAnnounced.mDataCentre == aDemand.mDataCentre ? 0 : aOptions.mOtherDataCentreMs);
+}
+
+/// How many of the preferred servers are taken to hold the part. All instances know the same
+/// queues, so while one is long they all turn to the next server, which then holds the part too.
+std::size_t CountHolders(const std::vector<scored>& aCandidates,
+                         const std::array<preferred, kHolders>& aHolders,
+                         const choice_options& aOptions, time_point aNow)
+{
+  double sum = 0;
+  for (const scored& candidate : aCandidates) {
+    sum += candidate.mCostMs;
+  }
+  // With all servers busy another reading would only add to the work.
+  const double longWait = std::max(aOptions.mLongWaitMs, aOptions.mLongWaitFactor * sum /
+                                                           static_cast<double>(aCandidates.size()));
+  std::size_t count = 1;
+  const auto isBusy = [&](const scored& aCandidate) {
+    return aCandidate.mCostMs > longWait || RankOf(*aCandidate.mServer, aNow) > 0;
+  };
+  while (count < std::min(kHolders, aCandidates.size()) &&
+         isBusy(aCandidates[aHolders[count - 1].mCandidate])) {
+    ++count;
+  }
+  return count;
+}
+
 } // namespace
 
 choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prompt_memory& aMemory,
@@ -70,8 +144,7 @@
   choice result;
   const std::uint64_t shared = Mix(SharedKey(aDemand), aDemand.mModelHash);
   std::vector<scored> candidates;
-  std::uint64_t bestWeight = 0;
-  std::size_t first = 0;
+  std::array<preferred, kHolders> holders; // by falling weight
   bool wasTried = false;
   for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
     if (server->mAnnounced.mIsLeaving || !aDemand.mIsAllowed(*server)) {
@@ -84,11 +157,10 @@
     }
     const std::uint64_t hash = StableHash(server->mAnnounced.mId.Value());
     const std::uint64_t weight = Mix(shared, hash);
-    if (weight >= bestWeight) {
-      bestWeight = weight;
-      first = candidates.size();
-    }
-    candidates.push_back(scored{ .mServer = server, .mServerHash = hash });
+    Prefer(holders, { .mWeight = weight, .mCandidate = candidates.size() });
+    candidates.push_back(scored{ .mServer = server,
+                                 .mCostMs = WaitMs(*server, aDemand, aOptions, aNow),
+                                 .mServerHash = hash });
   }
   result.mCandidates = candidates.size();
   if (candidates.empty()) {
@@ -96,41 +168,27 @@
     return result;
   }
 
+  const std::size_t holding = CountHolders(candidates, holders, aOptions, aNow);
+  const auto isHolder = [&holders, holding](std::size_t aCandidate) {
+    return std::any_of(
+      holders.begin(), holders.begin() + static_cast<std::ptrdiff_t>(holding),
+      [aCandidate](const preferred& aHolder) { return aHolder.mCandidate == aCandidate; });
+  };
   std::uniform_real_distribution<double> jitter(0.0, aOptions.mRequestMs / 2);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     scored& candidate = candidates[i];
-    const backends::backend_server& server = *candidate.mServer;
-    double cost = jitter(aRandom);
+    candidate.mCostMs += jitter(aRandom);
     if (!aDemand.mParts.empty()) {
       candidate.mUnread =
-        UnreadTokens(aDemand, candidate.mServerHash, i == first, aMemory, aOptions, aNow);
-      cost +=
-        static_cast<double>(candidate.mUnread) * aDemand.mReadCost / aOptions.mReadTokensPerMs;
-      cost += server.mUnreadTokens / aOptions.mReadTokensPerMs;
-    }
-    cost += server.mInFlight * aOptions.mRequestMs * (aDemand.mParts.empty() ? 4 : 1);
-    cost += std::chrono::duration<double, std::milli>(backends::DelayOf(server, aNow)).count();
-    cost += std::max(0.0, backends::FailureShare(server, aNow) - aOptions.mBorneFailures) *
-            aOptions.mFailureMs;
-    if (aDemand.mUnreached != nullptr) {
-      cost += aOptions.mUnreachedMs *
-              static_cast<double>(std::count(aDemand.mUnreached->begin(), aDemand.mUnreached->end(),
-                                             server.mAnnounced.mDataCentre));
+        UnreadTokens(aDemand, candidate.mServerHash, isHolder(i), aMemory, aOptions, aNow);
+      candidate.mCostMs += static_cast<double>(candidate.mUnread) * aDemand.mReadCost *
+                           aOptions.mReadWeight / aOptions.mReadTokensPerMs;
     }
-    cost += server.mAnnounced.mDataCentre == aDemand.mDataCentre ? 0 : aOptions.mOtherDataCentreMs;
-    candidate.mCostMs = cost;
   }
-  // Usable servers go before missing and cold ones, and those before suspects.
-  const auto rank = [aNow](const scored& aCandidate) {
-    const backends::backend_server& server = *aCandidate.mServer;
-    return aNow < server.mSuspectUntil                              ? 2
-           : backends::IsCold(server, aNow) || server.mMissingSince ? 1
-                                                                    : 0;
-  };
   std::sort(candidates.begin(), candidates.end(),
-            [&rank](const scored& aLeft, const scored& aRight) {
-              const int leftRank = rank(aLeft);
-              const int rightRank = rank(aRight);
+            [aNow](const scored& aLeft, const scored& aRight) {
+              const int leftRank = RankOf(*aLeft.mServer, aNow);
+              const int rightRank = RankOf(*aRight.mServer, aNow);
               return leftRank != rightRank ? leftRank < rightRank : aLeft.mCostMs < aRight.mCostMs;
             });
   for (const scored& candidate : candidates) {
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -43,9 +43,17 @@
 /// Weights of the choice.
 struct choice_options
 {
-  double mReadTokensPerMs = 32;  ///< speed of an engine at reading prompts, from the engines' sheet
+  double mReadTokensPerMs = 32; ///< speed of an engine at reading prompts, from the engines' sheet
+  /// Of the own reading, against work that the server has for others: a part that is read twice
+  /// delays all requests that follow, so the queue decides mostly between servers that would read
+  /// as much.
+  double mReadWeight = 40;
+  /// Expected wait above which the next server holds a shared part too; a long prompt's reading.
+  double mLongWaitMs = 280;
+  double mLongWaitFactor = 2;    ///< and at least this multiple of the mean wait
   duration mPromptLifetime = 9s; ///< after its last use a shared part is taken as forgotten
   double mRequestMs = 6;         ///< delay by a request that is under way; a step of an engine
+  double mPlainCallFactor = 4;   ///< a plain call takes this many times as long as a step
   double mFailureMs = 3000;      ///< weight of a server that fails every time
   double mBorneFailures = 0.2;   ///< share of failures that says nothing about a server
   double mUnreachedMs = 500;     ///< for a data centre where the request has reached no server
@@ -75,7 +83,8 @@
 /// when there is no other.
 ///
 /// The first server by rendezvous hashing of the model and the last shared part is taken to hold
-/// the shared parts: every instance sends them there, so no message is needed to know it.
+/// the shared parts: every instance sends them there, so no message is needed to know it. While the
+/// wait there is long, the next one is taken to hold them too.
 choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prompt_memory& aMemory,
               const choice_options& aOptions, std::mt19937_64& aRandom, time_point aNow);
 
--- /dev/null
+++ b/src/placement/load_board.cpp
@@ -0,0 +1,111 @@
+#include "placement/load_board.h"
+
+#include "base/digest.h"
+#include "base/error.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace tamarackweir::placement {
+
+namespace {
+
+using nlohmann::json;
+
+/// Short, since each message names many servers; two of a thousand share one once in 10,000 fleets.
+std::uint64_t KeyOf(const server_id& aServer)
+{
+  return StableHash(aServer.Value()) & 0xffffffffU;
+}
+
+void Add(load_report& aTo, const load_report& aLoads)
+{
+  for (const auto& [server, load] : aLoads) {
+    server_load& sum = aTo[server];
+    sum.mUnreadTokens += load.mUnreadTokens;
+    sum.mRequests += load.mRequests;
+  }
+}
+
+} // namespace
+
+load_report OwnLoads(const backends::fleet& aFleet)
+{
+  load_report loads;
+  for (const auto& [id, server] : aFleet.mServers) {
+    if (server->mInFlight > 0) {
+      loads[KeyOf(id)] = { .mUnreadTokens =
+                             static_cast<std::uint32_t>(std::max(0.0, server->mUnreadTokens)),
+                           .mRequests = static_cast<std::uint32_t>(server->mInFlight) };
+    }
+  }
+  return loads;
+}
+
+void TakeReport(load_board& aBoard, const std::string& aInstance, load_report aLoads,
+                time_point aNow)
+{
+  aBoard.mReports[aInstance] = { .mAt = aNow, .mLoads = std::move(aLoads) };
+}
+
+load_report Totals(load_board& aBoard, const std::string& aExcept, time_point aNow)
+{
+  std::erase_if(aBoard.mReports,
+                [aNow](const auto& aEntry) { return aNow - aEntry.second.mAt > kLoadLifetime; });
+  load_report totals;
+  for (const auto& [instance, entry] : aBoard.mReports) {
+    if (instance != aExcept) {
+      Add(totals, entry.mLoads);
+    }
+  }
+  return totals;
+}
+
+void ApplyTotals(backends::fleet& aFleet, const load_report& aTotals, time_point aNow)
+{
+  for (const auto& [id, server] : aFleet.mServers) {
+    const auto load = aTotals.find(KeyOf(id));
+    const server_load others = load == aTotals.end() ? server_load{} : load->second;
+    server->mOthers = { .mUnreadTokens = static_cast<double>(others.mUnreadTokens),
+                        .mRequests = static_cast<int>(others.mRequests),
+                        .mUntil = aNow + kLoadLifetime };
+  }
+}
+
+std::string Encode(const load_message& aMessage)
+{
+  json loads = json::array();
+  for (const auto& [server, load] : aMessage.mLoads) {
+    loads.push_back(server);
+    loads.push_back(load.mUnreadTokens);
+    loads.push_back(load.mRequests);
+  }
+  const auto bytes = json::to_msgpack(json::array(
+    { aMessage.mInstance, aMessage.mIsTotals, aMessage.mAsksForTotals, std::move(loads) }));
+  return { bytes.begin(), bytes.end() };
+}
+
+load_message DecodeLoads(std::string_view aBytes)
+{
+  constexpr std::size_t kFieldsPerServer = 3;
+  try {
+    const json message = json::from_msgpack(aBytes.begin(), aBytes.end());
+    load_message result{ .mInstance = message.at(0).get<std::string>(),
+                         .mIsTotals = message.at(1).get<bool>(),
+                         .mAsksForTotals = message.at(2).get<bool>() };
+    const json& loads = message.at(3);
+    for (std::size_t i = 0; i < loads.size(); i += kFieldsPerServer) {
+      result.mLoads[loads.at(i).get<std::uint64_t>()] = { .mUnreadTokens =
+                                                            loads.at(i + 1).get<std::uint32_t>(),
+                                                          .mRequests =
+                                                            loads.at(i + 2).get<std::uint32_t>() };
+    }
+    return result;
+  } catch (const json::exception& failure) {
+    throw error(error_kind::InvalidInput,
+                std::string("a peer's loads can't be read: ") + failure.what(),
+                "check that all instances run the same release");
+  }
+}
+
+} // namespace tamarackweir::placement
