--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -14,7 +14,7 @@
 constexpr duration kTellPause = 200ms;
 /// Above this number of instances reports become rarer, so that those who take them keep up.
 constexpr std::size_t kInstancesAtFullRate = 80;
-constexpr std::size_t kMaxDatagramBytes = 16 * 1024; ///< totals of a thousand servers
+constexpr std::size_t kMaxDatagramBytes = 1U << 14U; ///< totals of a thousand servers
 
 } // namespace
 
