--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -4,8 +4,6 @@
 #include "base/rendezvous.h"
 #include "observe/event_log.h"
 
-#include <algorithm>
-
 namespace tamarackweir::gateway {
 
 namespace {
@@ -97,14 +95,11 @@
     }
     placement::TakeReport(mBoard, message.mInstance, std::move(message.mLoads), now);
     if (message.mAsksForTotals) {
-      // The own loads are missing from the board.
-      placement::TakeReport(mBoard, mState.mSelf.mId.Value(), placement::OwnLoads(mState.mFleet),
-                            now);
-      Send({ .mInstance = mState.mSelf.mId.Value(),
-             .mIsTotals = true,
-             .mLoads = placement::Totals(mBoard, message.mInstance, now) },
-           aSender);
-      mBoard.mReports.erase(mState.mSelf.mId.Value());
+      placement::load_report totals = placement::Totals(mBoard, message.mInstance, now);
+      placement::Add(totals, placement::OwnLoads(mState.mFleet));
+      Send(
+        { .mInstance = mState.mSelf.mId.Value(), .mIsTotals = true, .mLoads = std::move(totals) },
+        aSender);
     }
   } catch (const error& failure) {
     observe::event_line("load_unreadable").Text("reason", failure.what()).Write();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -4,7 +4,6 @@
 #include "net/loop.h"
 #include "placement/load_board.h"
 
-#include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <map>
 #include <string>
--- a/src/placement/load_board.cpp
+++ b/src/placement/load_board.cpp
@@ -18,6 +18,8 @@
   return StableHash(aServer.Value()) & 0xffffffffU;
 }
 
+} // namespace
+
 void Add(load_report& aTo, const load_report& aLoads)
 {
   for (const auto& [server, load] : aLoads) {
@@ -27,8 +29,6 @@
   }
 }
 
-} // namespace
-
 load_report OwnLoads(const backends::fleet& aFleet)
 {
   load_report loads;
--- a/src/placement/load_board.h
+++ b/src/placement/load_board.h
@@ -44,6 +44,9 @@
 /// Reports of instances that fell silent count no longer; five messages may be lost.
 inline constexpr duration kLoadLifetime = 1s;
 
+/// Adds the loads of `aLoads`, server by server.
+void Add(load_report& aTo, const load_report& aLoads);
+
 /// What this instance has under way.
 load_report OwnLoads(const backends::fleet& aFleet);
 
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -29,6 +29,12 @@
   return aShift.mStarted + std::chrono::duration_cast<duration>(aShift.mOrder.mDuration * aElapsed);
 }
 
+/// What an instance that knows all results writes, by the usual options.
+std::optional<shift_phase> PhaseAt(const shift& aShift, double aElapsed)
+{
+  return NextPhase(aShift, {}, evidence_scope::Pooled, At(aShift, aElapsed));
+}
+
 void RecordMany(shift& aShift, bool aIsNew, const char* aServer, int aGood, int aBad,
                 const char* aRoute = "r")
 {
@@ -320,10 +326,7 @@
 
 TEST_CASE("the phases follow one another and end")
 {
-  const shift_options options;
-  const auto next = [&options](const shift& aShift, double aElapsed) {
-    return NextPhase(aShift, options, evidence_scope::Pooled, At(aShift, aElapsed));
-  };
+  const auto next = PhaseAt;
   shift running = MakeShift();
   CHECK(next(running, 0) == shift_phase::Running);
   running.mProgress = shift_progress{ .mOrder = 5 };
@@ -350,9 +353,7 @@
   RecordMany(running, false, "old", 10, 0, "b");
   RecordMany(running, true, "new", 20, 0, "a");
   RecordMany(running, true, "new", static_cast<int>(options.mRouteResults) - 1, 0, "b");
-  const auto next = [&](double aElapsed) {
-    return NextPhase(running, options, evidence_scope::Pooled, At(running, aElapsed));
-  };
+  const auto next = [&](double aElapsed) { return PhaseAt(running, aElapsed); };
   CHECK_FALSE(next(0.6).has_value());
   CHECK(next(options.mPassAtLatest + 0.01) == shift_phase::Passed);
   RecordMany(running, true, "new", 1, 0, "b");
@@ -368,9 +369,7 @@
   RecordMany(running, true, "new-1", 4, 1);
   RecordMany(running, true, "new-2", 4, 1);
   REQUIRE_FALSE(IsBad(running, options));
-  const auto next = [&](double aElapsed) {
-    return NextPhase(running, options, evidence_scope::Pooled, At(running, aElapsed));
-  };
+  const auto next = [&](double aElapsed) { return PhaseAt(running, aElapsed); };
   CHECK_FALSE(next(0.6).has_value());
   CHECK(next(0.76) == shift_phase::RolledBack);
 }
@@ -385,24 +384,19 @@
   RecordMany(running, true, "new-1", 10, 2);
   RecordMany(running, true, "new-2", 10, 1);
   REQUIRE_FALSE(IsBad(running, options));
-  const auto next = [&](double aElapsed) {
-    return NextPhase(running, options, evidence_scope::Pooled, At(running, aElapsed));
-  };
+  const auto next = [&](double aElapsed) { return PhaseAt(running, aElapsed); };
   CHECK_FALSE(next(0.85).has_value());
   CHECK(next(options.mDecideAt + 0.005) == shift_phase::RolledBack);
 }
 
 TEST_CASE("a shift whose failures are those of one server is held, and passes in the end")
 {
-  const shift_options options;
   shift running = MakeShift();
   running.mProgress = shift_progress{ .mOrder = 5 };
   RecordMany(running, false, "old", 200, 0);
   RecordMany(running, true, "new-1", 6, 4);
   RecordMany(running, true, "new-2", 60, 0);
-  const auto next = [&](double aElapsed) {
-    return NextPhase(running, options, evidence_scope::Pooled, At(running, aElapsed));
-  };
+  const auto next = [&](double aElapsed) { return PhaseAt(running, aElapsed); };
   CHECK_FALSE(next(0.6).has_value());
   CHECK(next(0.76) == shift_phase::Passed);
 }
