Let other instances take over from readers that lost the store; keep small tables ahead

Cause: above 16 instances four read the store, chosen whatever their machines or state. The table of servers, 92 rows each 0.6 s while many were cold, travelled in the same answer as the configuration, through links of 10 or 20 Mbit/s. At the first start each instance took itself for one of few until it saw more than 16 rows, and fed three tables.

Change: an instance that is followed reads the store while it is, and confirms nothing before the store has answered it; followers go on to the next in rank, and do not turn to the store themselves when eight readers have lost it. Readers, collectors and aggregators are chosen among the widest links, one a data centre first (base/duty_roster).

--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -1,7 +1,6 @@
 #include "gateway/load_exchange.h"
 
 #include "base/error.h"
-#include "base/rendezvous.h"
 #include "observe/event_log.h"
 
 namespace tamarackweir::gateway {
@@ -41,8 +40,7 @@
     co_await net::SleepFor(mLoop.get_executor(), kReportInterval * static_cast<int>(slowdown));
     const bool isFullMesh = instances <= kMaxFullMesh;
     const std::vector<std::string> receivers =
-      isFullMesh ? mState.mInstances
-                 : FirstInstances(mState.mInstances, "load board", kAggregators);
+      isFullMesh ? mState.mInstances : DutyHolders(mState.mRoster, "load board", kAggregators);
     placement::load_message report{ .mInstance = mState.mSelf.mId.Value(),
                                     .mLoads = placement::OwnLoads(mState.mFleet) };
     ++mRounds;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,7 +1,6 @@
 #include "gateway/peers.h"
 
 #include "base/error.h"
-#include "base/rendezvous.h"
 #include "gateway/shift_results.h"
 #include "net/http_call.h"
 #include "observe/event_log.h"
@@ -27,12 +26,13 @@
 std::vector<std::string> Collectors(const gateway_state& aState, const service_id& aService,
                                     time_point aNow)
 {
-  std::vector<std::string> answering = aState.mInstances;
-  std::erase_if(answering, [&](const std::string& aInstance) {
-    const auto silent = aState.mSilentPeers.find(aInstance);
-    return silent != aState.mSilentPeers.end() && aNow < silent->second;
-  });
-  return FirstInstances(std::move(answering), aService.Value(), kCollectors);
+  std::set<std::string> silent;
+  for (const auto& [instance, until] : aState.mSilentPeers) {
+    if (aNow < until) {
+      silent.insert(instance);
+    }
+  }
+  return DutyHolders(aState.mRoster, aService.Value(), kCollectors, silent);
 }
 
 peer_exchange::peer_exchange(net::asio::io_context& aLoop, gateway_state& aState,
@@ -72,21 +72,21 @@
   }
 }
 
-net::task<bool> peer_exchange::Follow(instance_id aPeer, std::vector<std::string> aNames,
-                                      duration aWait)
+net::task<follow_result> peer_exchange::Follow(instance_id aPeer, std::vector<std::string> aNames,
+                                               duration aWait)
 {
   const auto known = std::find_if(mPeers.begin(), mPeers.end(),
                                   [&aPeer](const peer& aOther) { return aOther.mId == aPeer; });
   if (known == mPeers.end()) {
-    co_return false;
+    co_return follow_result::Silent;
   }
   const peer followed = *known;
   const auto answer = co_await PullFrom(followed, std::move(aNames), aWait);
   if (!answer) {
-    co_return false;
+    co_return follow_result::Silent;
   }
   mOnUpdate(*answer);
-  co_return !answer->mIsStoreLost;
+  co_return answer->mIsStoreLost ? follow_result::StoreLost : follow_result::Confirmed;
 }
 
 void peer_exchange::NotifyFollowers()
@@ -189,10 +189,23 @@
 net::task<std::string> peer_exchange::AnswerTables(std::shared_ptr<net::inbound_request> aRequest)
 {
   const replica::news_question question = replica::DecodeQuestion(aRequest->mBody);
-  const time_point end = net::Now() + std::min(question.mWait, kMaxFollowWait);
+  const time_point begin = net::Now();
+  const time_point end = begin + std::min(question.mWait, kMaxFollowWait);
+  const bool isFollowed = question.mWait > duration::zero();
+  if (isFollowed) {
+    mState.mFollowedAt = begin;
+  }
   while (true) {
+    const time_point now = net::Now();
+    // An instance that does not read the store yet, or was suspended, confirms nothing until the
+    // store has answered it.
+    const bool isBehind = isFollowed && now - mState.mStoreAnsweredAt > kConfirmedWithin;
+    if (isBehind && !mState.mIsStoreLost && !mState.mIsStopping && now < end) {
+      co_await WaitForNews(end);
+      continue;
+    }
     // An instance that is stopping ends the wait, so that its followers turn to another one.
-    const bool cannotServe = mState.mIsStoreLost || mState.mIsStopping;
+    const bool cannotServe = mState.mIsStoreLost || mState.mIsStopping || isBehind;
     replica::news_answer answer = replica::AnswerFor(mTables, question, cannotServe);
     if (mState.mStoreReturnedAt) {
       answer.mStoreReturnedAgo = net::Now() - *mState.mStoreReturnedAt;
@@ -200,14 +213,19 @@
     if (!answer.mUpdates.empty() || cannotServe || net::Now() >= end) {
       co_return replica::EncodeAnswer(answer);
     }
-    net::asio::steady_timer wait(mLoop, end - net::Now());
-    mFollowerTimers.insert(&wait);
-    net::error_code ignoredCancel;
-    co_await wait.async_wait(net::asio::redirect_error(net::asio::use_awaitable, ignoredCancel));
-    mFollowerTimers.erase(&wait);
+    co_await WaitForNews(end);
   }
 }
 
+net::task<> peer_exchange::WaitForNews(time_point aEnd)
+{
+  net::asio::steady_timer wait(mLoop, aEnd - net::Now());
+  mFollowerTimers.insert(&wait);
+  net::error_code ignoredCancel;
+  co_await wait.async_wait(net::asio::redirect_error(net::asio::use_awaitable, ignoredCancel));
+  mFollowerTimers.erase(&wait);
+}
+
 std::string peer_exchange::AnswerResults(const net::inbound_request& aRequest)
 {
   const rollout::results_report report = rollout::DecodeReport(aRequest.mBody);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -21,6 +21,14 @@
   net::tcp::endpoint mAddress;
 };
 
+/// What became of a question to a peer that is followed.
+enum class follow_result
+{
+  Confirmed, ///< the peer reaches the store, and its updates, if any, were applied
+  StoreLost, ///< the peer does not reach the store
+  Silent,    ///< no answer, or the peer's address is not known
+};
+
 /// Exchanges data with other instances: copies of the store's tables, for instances that can't
 /// reach the store, and results of shifts.
 class peer_exchange
@@ -43,9 +51,10 @@
   /// Requests updates of the named tables from `aCount` peers, chosen at random.
   net::task<> PullTables(std::vector<std::string> aNames, std::size_t aCount);
 
-  /// Waits up to `aWait` for updates of the named tables from one peer (long polling). Returns
-  /// false if the peer does not answer, is not known, or can't reach the store.
-  net::task<bool> Follow(instance_id aPeer, std::vector<std::string> aNames, duration aWait);
+  /// Waits up to `aWait` for updates of the named tables from one peer (long polling), which reads
+  /// the store itself while others follow it.
+  net::task<follow_result> Follow(instance_id aPeer, std::vector<std::string> aNames,
+                                  duration aWait);
 
   /// Wakes the waiting peers after a table has changed or the store was lost.
   void NotifyFollowers();
@@ -57,6 +66,7 @@
   net::task<> Answer(std::shared_ptr<net::caller_connection> aPeer,
                      std::shared_ptr<net::inbound_request> aRequest);
   net::task<std::string> AnswerTables(std::shared_ptr<net::inbound_request> aRequest);
+  net::task<> WaitForNews(time_point aEnd);
   std::string AnswerResults(const net::inbound_request& aRequest);
   net::task<std::optional<replica::news_answer>> PullFrom(peer aPeer,
                                                           std::vector<std::string> aNames,
@@ -73,6 +83,10 @@
   std::string mStartId; ///< distinguishes this start of the instance from earlier ones
 };
 
+/// An instance that is followed confirms what it knows for this long after an answer of the store;
+/// the time of two answers.
+inline constexpr duration kConfirmedWithin = 2s;
+
 /// Number of instances that collect the results of a shift. All others send only to them, so that
 /// the cost per instance does not grow with the deployment; more than one, so that one may be down.
 inline constexpr std::size_t kCollectors = 3;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backends/fleet.h"
+#include "base/duty_roster.h"
 #include "cascade/confidence.h"
 #include "gateway/dialect.h"
 #include "observe/metrics.h"
@@ -40,6 +41,7 @@
   instance_id mId;
   data_centre_id mDataCentre;
   std::map<data_centre_id, routing::region_id> mRegions; ///< of all data centres
+  double mLinkMbps = 0; ///< bandwidth of the machine's link; 0: not known
 };
 
 /// Options of the gateway's decisions.
@@ -80,6 +82,7 @@
   std::map<service_id, rollout::shift> mShifts;
   backends::fleet mFleet;
   std::vector<std::string> mInstances; ///< ids of all instances, this one included
+  duty_roster mRoster;                 ///< the same instances, as candidates for duties
   /// Instances that did not accept results of a shift, and until when they are skipped.
   std::map<std::string, time_point> mSilentPeers;
 
@@ -93,7 +96,9 @@
   rollout::session_pins mSessions;
   std::mt19937_64 mRandom;
   observe::metrics mMetrics;
-  bool mIsStoreLost = false;                  ///< this instance gets no answer from the store
+  time_point mStoreAnsweredAt{}; ///< when the store last answered this instance itself
+  time_point mFollowedAt{};      ///< when another instance last followed the store through this one
+  bool mIsStoreLost = false;     ///< this instance gets no answer from the store
   std::optional<time_point> mStoreReturnedAt; ///< when it answered again after an outage
   bool mIsStopping = false;
   time_point mStopsAt{}; ///< while stopping: when remaining requests are aborted
