Leave time to drain before the old version's servers stop, and move calls that they break off

Change: a call on the old version goes on with the new one once that one has all requests. The canary share follows the number of old servers (agreed in the row of the shift), so a large service leaves most of its exposure bound to the drain and the ramp.

--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -69,6 +69,11 @@
       rollout::NewVersionShare(*aShift, aState.mOptions.mShift, aNow) == 0) {
     aCall.mSide = rollout::version_side::Old;
   }
+  if (aCall.mSide && *aCall.mSide == rollout::version_side::Old &&
+      rollout::NewVersionShare(*aShift, aState.mOptions.mShift, aNow) >= 1) {
+    // The old version's servers stop soon, or have stopped in the middle of this call.
+    aCall.mSide = rollout::version_side::New;
+  }
   if (!aCall.mSide) {
     aCall.mSide = rollout::ChooseSide(*aShift, aState.mOptions.mShift, aCall.mPoint, aCall.mSession,
                                       aState.mSessions, aNow);
--- a/src/rollout/exposure_schedule.cpp
+++ b/src/rollout/exposure_schedule.cpp
@@ -9,7 +9,15 @@
   return aOptions.mCanaryPart * aOptions.mExposureBound;
 }
 
-exposure_schedule PlanExposure(duration aLength, const schedule_options& aOptions)
+double CanaryShareFor(std::size_t aServers, const schedule_options& aOptions)
+{
+  return std::min(MaxCanaryShare(aOptions),
+                  aOptions.mCanaryServers /
+                    static_cast<double>(std::max<std::size_t>(1, aServers)));
+}
+
+exposure_schedule PlanExposure(duration aLength, double aCanaryShare,
+                               const schedule_options& aOptions)
 {
   constexpr double kLatestCanaryStart = 0.5;
   constexpr double kEarliestRamp = 0.5; // sessions keep their version in the first half
@@ -19,17 +27,19 @@
   };
   exposure_schedule schedule;
   schedule.mCanaryStart = std::min(kLatestCanaryStart, fraction(aOptions.mStartDelay));
-  schedule.mRampEnd = std::max(kEarliestRamp, 1 - fraction(aOptions.mSettleTime));
+  const double settle = fraction(aOptions.mSettleTime);
+  schedule.mSuccess = std::max(kEarliestRamp, 1 - settle);
   const double bound = aOptions.mExposureBound * (1 - aOptions.mReserve);
-  const double settle = 1 - schedule.mRampEnd;
-  const double canaryLength = std::max(1e-3, schedule.mRampEnd - schedule.mCanaryStart);
-  const double largestCanary = MaxCanaryShare(aOptions);
+  const double canaryLength = 1 - schedule.mCanaryStart;
   // A short shift has less left for its canary; without any, nothing would be known of the version.
   constexpr double kSmallestCanary = 0.2;
+  const double wanted = std::min(aCanaryShare, MaxCanaryShare(aOptions));
   schedule.mCanaryShare =
-    std::clamp((bound - settle) / canaryLength, largestCanary * kSmallestCanary, largestCanary);
-  const double left = bound - settle - schedule.mCanaryShare * canaryLength;
-  const double ramp = std::max(0.0, 2 * left / (1 - schedule.mCanaryShare));
+    std::clamp((bound - settle) / canaryLength, wanted * kSmallestCanary, wanted);
+  const double left = std::max(0.0, bound - schedule.mCanaryShare * canaryLength);
+  const double drain = std::max(settle, left * aOptions.mDrainPart);
+  const double ramp = std::max(0.0, 2 * (left - drain) / (1 - schedule.mCanaryShare));
+  schedule.mRampEnd = std::max(kEarliestRamp, 1 - drain);
   schedule.mRampStart = std::max(kEarliestRamp, schedule.mRampEnd - ramp);
   return schedule;
 }
--- a/src/rollout/exposure_schedule.h
+++ b/src/rollout/exposure_schedule.h
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 
+#include <cstddef>
+
 namespace tamarackweir::rollout {
 
 /// Limits that the schedule of a traffic shift is derived from.
@@ -11,12 +13,15 @@
   /// unproven; a setting of the deployment.
   double mExposureBound = 0.15;
   double mCanaryPart = 0.45; ///< canary share of the sessions, relative to the bound
-  double mReserve = 0.05;    ///< of the bound, for traffic that is not even over time
+  /// Servers of the old version whose share of the load the canary gets, below the part above. A
+  /// service with many servers has results enough from a smaller share, and more is left to drain.
+  double mCanaryServers = 3;
+  double mDrainPart = 0.7; ///< of what the canary leaves, for the drain; the rest is for the ramp
+  double mReserve = 0.05;  ///< of the bound, for traffic that is not even over time
   /// All requests go to the old version for this long, until all instances know of the shift and of
   /// the sessions that were active before it.
   duration mStartDelay = 2s;
-  /// From the time at which the new version has all requests to the deadline: to write the success
-  /// to the store, with one repetition.
+  /// From the success to the deadline: to write it to the store, with one repetition.
   duration mSettleTime = 700ms;
 };
 
@@ -31,15 +36,20 @@
   double mCanaryShare = 0; ///< of the sessions
   double mCanaryStart = 0;
   double mRampStart = 0; ///< the share rises linearly from here, once the shift has passed
-  double mRampEnd = 0;   ///< the new version has all requests
+  double mRampEnd = 0;   ///< the new version has all requests; those on the old one drain
+  double mSuccess = 0;   ///< the old version's servers may stop
 };
 
 /// The largest canary share of any shift with these options.
 double MaxCanaryShare(const schedule_options& aOptions);
 
-/// Plans a shift of the given length. A shift that is too short for a ramp has a step instead; one
-/// whose settling alone takes up the bound exceeds it.
-exposure_schedule PlanExposure(duration aLength, const schedule_options& aOptions);
+/// The canary share for a service with that many servers of the old version.
+double CanaryShareFor(std::size_t aServers, const schedule_options& aOptions);
+
+/// Plans a shift of the given length with the wanted canary share. A shift that is too short for a
+/// ramp has a step instead; one whose settling alone takes up the bound exceeds it.
+exposure_schedule PlanExposure(duration aLength, double aCanaryShare,
+                               const schedule_options& aOptions);
 
 /// The share of sessions on the new version while the shift runs.
 /// \param aPassed when the shift passed; negative if it has not
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -179,11 +179,6 @@
   });
 }
 
-exposure_schedule ScheduleOf(const shift& aShift, const shift_options& aOptions)
-{
-  return PlanExposure(aShift.mOrder.mDuration, aOptions.mSchedule);
-}
-
 double FractionOf(duration aTime, const shift& aShift)
 {
   const double length =
@@ -241,6 +236,13 @@
   return std::max(0.0, FractionOf(aNow - aShift.mStartedAt, aShift));
 }
 
+exposure_schedule ScheduleOf(const shift& aShift, const shift_options& aOptions)
+{
+  const double agreed = aShift.mProgress ? aShift.mProgress->mCanaryShare : 0;
+  return PlanExposure(aShift.mOrder.mDuration,
+                      agreed > 0 ? agreed : MaxCanaryShare(aOptions.mSchedule), aOptions.mSchedule);
+}
+
 double NewVersionShare(const shift& aShift, const shift_options& aOptions, time_point aNow)
 {
   if (aShift.mProgress && aShift.mProgress->mPhase == shift_phase::Succeeded) {
@@ -375,10 +377,10 @@
              : std::nullopt;
   }
   // Collectors decide first; the other instances act only if no collector has done so.
-  const double settle = 1 - schedule.mRampEnd;
+  const double settle = 1 - schedule.mSuccess;
   const double lastCall = 1 - settle * 0.6;
   const double ownFrom = 1 - settle * 0.35;
-  if (!aShift.mPassedAt || elapsed < schedule.mRampEnd ||
+  if (!aShift.mPassedAt || elapsed < schedule.mSuccess ||
       (aScope == evidence_scope::Own && elapsed < ownFrom)) {
     return std::nullopt;
   }
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -42,6 +42,7 @@
   shift_phase mPhase = shift_phase::Running;
   std::int64_t mStartedMs = 0; ///< on the store's clock
   std::int64_t mPassedMs = 0;  ///< on the store's clock; 0 if it has not passed
+  double mCanaryShare = 0;     ///< of the sessions; 0: the largest
 };
 
 /// Limits of the test of the new version.
@@ -127,6 +128,9 @@
 /// Returns the elapsed time as a fraction of the shift's duration; may exceed 1.
 double ElapsedFraction(const shift& aShift, time_point aNow);
 
+/// Returns the plan of the shift.
+exposure_schedule ScheduleOf(const shift& aShift, const shift_options& aOptions);
+
 /// Returns the share of sessions that go to the new version.
 double NewVersionShare(const shift& aShift, const shift_options& aOptions, time_point aNow);
 
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -32,7 +32,7 @@
 
 exposure_schedule ScheduleOf(const shift& aShift)
 {
-  return PlanExposure(aShift.mOrder.mDuration, {});
+  return rollout::ScheduleOf(aShift, {});
 }
 
 /// Returns the next phase by all instances' results, with default options.
@@ -241,10 +241,10 @@
   CHECK(next(running, schedule.mRampStart - 0.01) == shift_phase::Passed);
   running.mProgress->mPhase = shift_phase::Passed;
   running.mPassedAt = At(running, schedule.mRampStart - 0.01);
-  CHECK_FALSE(next(running, schedule.mRampEnd - 0.01).has_value());
-  CHECK(next(running, schedule.mRampEnd + 0.001) == shift_phase::Succeeded);
+  CHECK_FALSE(next(running, schedule.mSuccess - 0.01).has_value());
+  CHECK(next(running, schedule.mSuccess + 0.001) == shift_phase::Succeeded);
   running.mIsHalted = true;
-  CHECK(next(running, schedule.mRampEnd + 0.001) == shift_phase::RolledBack);
+  CHECK(next(running, schedule.mSuccess + 0.001) == shift_phase::RolledBack);
   running.mProgress->mPhase = shift_phase::RolledBack;
   CHECK_FALSE(next(running, 0.999).has_value());
 }
@@ -305,7 +305,7 @@
   RecordMany(running, true, "new-1", 10, 2);
   RecordMany(running, true, "new-2", 10, 2);
   REQUIRE_FALSE(IsNewVersionBad(running, options));
-  CHECK_FALSE(PhaseAt(running, schedule.mRampEnd + 0.001).has_value());
+  CHECK_FALSE(PhaseAt(running, schedule.mSuccess + 0.001).has_value());
   CHECK(PhaseAt(running, 0.995) == shift_phase::RolledBack);
 }
 
