--- a/src/rollout/exposure_schedule_test.cpp
+++ b/src/rollout/exposure_schedule_test.cpp
@@ -17,8 +17,7 @@
       const schedule_options options{ .mExposureBound = bound };
       const exposure_schedule schedule =
         PlanExposure(length, CanaryShareFor(servers, options), options);
-      CAPTURE(bound);
-      CAPTURE(servers);
+      CAPTURE(options.mExposureBound);
       CAPTURE(length.count());
       CHECK(ExpectedExposure(schedule) < bound);
       double sum = 0;
