--- a/src/entry/engine_client.cpp
+++ b/src/entry/engine_client.cpp
@@ -57,6 +57,12 @@
 
 } // namespace
 
+bool IsTimeout(call_end aEnd, duration aSilence, duration aReadTimeout)
+{
+  constexpr duration kClientGrain = 1ms;
+  return aEnd == call_end::Broken && aSilence + kClientGrain >= aReadTimeout;
+}
+
 call_result CallStreaming(const backend_call& aCall, const request_id& aRequest,
                           const event_receiver& aOnEvent)
 {
--- a/src/entry/engine_client.h
+++ b/src/entry/engine_client.h
@@ -42,6 +42,11 @@
   std::string mBody;
 };
 
+/// Whether a call that broke did so because its wait for the next piece ran out. The HTTP client
+/// reports both alike, and waits for whole milliseconds only.
+/// \param aSilence since the last piece of the answer, or since the call was sent
+bool IsTimeout(call_end aEnd, duration aSilence, duration aReadTimeout);
+
 /// Takes an event of a stream; returns false to cancel the call.
 using event_receiver = std::function<bool(const relay::sse_event&)>;
 
--- a/src/entry/stage.cpp
+++ b/src/entry/stage.cpp
@@ -229,10 +229,8 @@
     return outcome.mNext.mNext == relay::next_step::Continue ||
            outcome.mNext.mNext == relay::next_step::Finish;
   });
-  // The HTTP client reports a read that timed out like a connection that broke; only the time tells
-  // them apart.
-  outcome.mTimedOut = outcome.mTimedOut || (outcome.mCall.mEnd == call_end::Broken &&
-                                            Now(system) - lastArrival >= call.mReadTimeout);
+  outcome.mTimedOut = outcome.mTimedOut ||
+                      IsTimeout(outcome.mCall.mEnd, Now(system) - lastArrival, call.mReadTimeout);
   aRun.mRuntime.mSpans.Add(
     { .mContext = context,
       .mParentId = aRun.mStage.mTrace.mSpanId,
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -92,8 +92,8 @@
   return IsAbove(Failures(aCounts.mNew), rate, aSignificance);
 }
 
-/// Whether most of the judged servers answer more slowly than not. Some servers may be slow from
-/// causes of their own.
+/// Whether on at least half of the judged servers most answers are slow. Some servers may be slow
+/// from causes of their own.
 bool AreMostServersSlow(const version_counts& aCounts)
 {
   std::size_t judged = 0;
@@ -105,8 +105,7 @@
   return 2 * slow >= judged;
 }
 
-/// Whether the new version is slow. With few results on a route, its slowest servers weigh too
-/// much.
+/// Returns the new version's answers by pace without those of the server with the most slow ones.
 tally PaceWithoutSlowestServer(const version_counts& aCounts)
 {
   tally slowest;
