--- a/src/gateway/shift_results.cpp
+++ b/src/gateway/shift_results.cpp
@@ -21,7 +21,7 @@
          aLatency.mMs * kSlowFactor;
 }
 
-/// Old servers are not told apart, which keeps reports short.
+/// Results of the old version are counted without their servers, which keeps reports short.
 rollout::result_key KeyOf(const call& aCall, const attempt& aAttempt)
 {
   return { .mIsNew = aAttempt.IsNewVersion(),
