--- a/src/gateway/crash_reports.cpp
+++ b/src/gateway/crash_reports.cpp
@@ -116,7 +116,7 @@
     .Number("crashes", static_cast<std::int64_t>(aState.mCrashes.mRecords.size()))
     .Number("suspected", static_cast<std::int64_t>(aState.mCrashes.mSuspected.size()))
     .Write();
-  for (call* const open : aState.mOpenCalls) {
+  for (call* const open : *aState.mOpenCalls) {
     // An answer that has begun goes on: if it ends well, the quarantine was wrong.
     if (open->mExchange != nullptr && !open->mAnswerBegan && !open->mKeepsRunning &&
         IsQuarantined(aState, *open)) {
@@ -127,15 +127,15 @@
 }
 
 open_call::open_call(gateway_state& aState, call& aCall)
-  : mState(aState)
+  : mOpenCalls(aState.mOpenCalls)
   , mCall(aCall)
 {
-  mState.mOpenCalls.insert(&mCall);
+  mOpenCalls->insert(&mCall);
 }
 
 open_call::~open_call()
 {
-  mState.mOpenCalls.erase(&mCall);
+  mOpenCalls->erase(&mCall);
 }
 
 } // namespace tamarackweir::gateway
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -38,7 +38,7 @@
   open_call& operator=(const open_call&) = delete;
 
 private:
-  gateway_state& mState;
+  std::shared_ptr<std::set<call*>> mOpenCalls;
   call& mCall;
 };
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -98,7 +98,9 @@
   std::unordered_map<service_id, double> mEngineLoad; ///< 0 (idle) to 1, from times to first events
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
-  std::set<call*> mOpenCalls; ///< whose request has been accepted and not been answered
+  /// Calls that are being handled. Shared with them, as they may outlive the state at the end of
+  /// the process.
+  std::shared_ptr<std::set<call*>> mOpenCalls = std::make_shared<std::set<call*>>();
   std::mt19937_64 mRandom;
   observe::metrics mMetrics;
   time_point mStoreAnsweredAt{}; ///< when the store last answered this instance itself
