Take a stream that ends inside an event for broken off

A caller got a stream as complete though its last event was cut: a stream with neither a length nor chunks ends with its connection, and the bytes after the last blank line were delivered as if the server had meant them. Such a stream now goes on at another server after its last whole event, or is broken off towards the caller. Tests: stream_end, two of three failed before; the whole unframed stream was delivered before as well.

--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -134,10 +134,6 @@
         .Write();
       co_return run_end::Broken;
     }
-    if (exchange.IsComplete()) {
-      // The server ended the body properly, so bytes after the last blank line belong to it.
-      completeEvents.mBytes += std::exchange(events.mIncompleteEvent, {});
-    }
     if (completeEvents.mBytes.empty()) {
       continue;
     }
@@ -157,7 +153,8 @@
       aDelivery.mLastEvent = completeEvents.mLastId;
     }
   }
-  co_return run_end::Complete;
+  // A body that ends with its connection can't show that it was cut, but an unfinished event does.
+  co_return events.mIncompleteEvent.empty() ? run_end::Complete : run_end::Broken;
 }
 
 /// The larger model to run instead of delivering this answer; charges the retry budget.
