Roll a version back whose answers are slow nearly everywhere

Cause: at the ramp 10 of 12 answers of the new version were slow and 39 of 160 of the old one. The test left out the server with the most slow answers and allowed half more than the old version's rate, and few results were left. If three quarters of all answers, on three quarters of the servers, are slow, no single server explains it: then all results count, against the old version's own rate. Used for the decisions before and after the ramp only, not in the test that is repeated with each result. Test: shift, failed before (8 of 9 and 6 of 7 slow answers passed).

--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -69,13 +69,14 @@
   }
 }
 
+/// With fewer results of the old version, its rate is too uncertain to compare with.
+constexpr std::uint64_t kMinOldResults = 30;
+
 /// The rate above which a version is worse than the old one.
 double ToleratedRate(const tally& aOld, double aFloor, double aFactor)
 {
   const double oldRate =
     (static_cast<double>(aOld.mBad) + 0.5) / (static_cast<double>(aOld.Trials()) + 1);
-  // With fewer results of the old version, its rate is too uncertain to compare with.
-  constexpr std::uint64_t kMinOldResults = 30;
   const double tolerated = aOld.Trials() >= kMinOldResults ? oldRate * aFactor : 0;
   return std::clamp(tolerated, aFloor, 0.9);
 }
@@ -92,17 +93,21 @@
   return IsAbove(Failures(aCounts.mNew), rate, aSignificance);
 }
 
-/// Whether on at least half of the judged servers most answers are slow. Some servers may be slow
-/// from causes of their own.
-bool AreMostServersSlow(const version_counts& aCounts)
+/// Servers of the new version by the pace of most of their answers.
+struct server_paces
 {
-  std::size_t judged = 0;
-  std::size_t slow = 0;
+  std::size_t mJudged = 0;
+  std::size_t mSlow = 0; ///< more answers are slow than are not
+};
+
+server_paces CountServersByPace(const version_counts& aCounts)
+{
+  server_paces result;
   for (const auto& [server, counts] : aCounts.mNewByServer) {
-    judged += counts.mOnPace + counts.mSlow > 0 ? 1 : 0;
-    slow += counts.mSlow > counts.mOnPace ? 1 : 0;
+    result.mJudged += counts.mOnPace + counts.mSlow > 0 ? 1 : 0;
+    result.mSlow += counts.mSlow > counts.mOnPace ? 1 : 0;
   }
-  return 2 * slow >= judged;
+  return result;
 }
 
 /// Returns the new version's answers by pace without those of the server with the most slow ones.
@@ -118,14 +123,33 @@
            .mBad = aCounts.mNew.mSlow - slowest.mBad };
 }
 
+/// Whether nearly all answers of nearly all servers are slow. No slow machine explains that, so all
+/// results count, and few are enough; not for a test that is repeated with each result.
+bool IsSlowEverywhere(const version_counts& aCounts, const shift_options& aOptions,
+                      double aSignificance)
+{
+  const tally answers = SlowAnswers(aCounts.mNew);
+  const server_paces servers = CountServersByPace(aCounts);
+  const auto isNearlyAll = [&aOptions](std::uint64_t aPart, std::uint64_t aAll) {
+    return static_cast<double>(aPart) >= aOptions.mSlowEverywhereShare * static_cast<double>(aAll);
+  };
+  const tally old = SlowAnswers(aCounts.mOld);
+  return old.Trials() >= kMinOldResults && answers.Trials() >= aOptions.mMinSlowEverywhere &&
+         servers.mSlow >= 2 && isNearlyAll(servers.mSlow, servers.mJudged) &&
+         isNearlyAll(answers.mBad, answers.Trials()) &&
+         IsAbove(answers, ToleratedRate(old, aOptions.mSlowRateFloor, 1), aSignificance);
+}
+
 bool IsSlower(const version_counts& aCounts, const shift_options& aOptions, double aSignificance)
 {
   if (SlowAnswers(aCounts.mNew).Trials() < aOptions.mMinPaceResults) {
     return false;
   }
+  // Some servers may be slow from causes of their own.
+  const server_paces servers = CountServersByPace(aCounts);
   const double rate =
     ToleratedRate(SlowAnswers(aCounts.mOld), aOptions.mSlowRateFloor, aOptions.mSlowRateFactor);
-  return AreMostServersSlow(aCounts) &&
+  return 2 * servers.mSlow >= servers.mJudged &&
          IsAbove(PaceWithoutSlowestServer(aCounts), rate, aSignificance);
 }
 
@@ -173,9 +197,12 @@
 bool IsSuspicious(const std::map<std::string, version_counts>& aByRoute,
                   const shift_options& aOptions)
 {
-  return std::any_of(aByRoute.begin(), aByRoute.end(), [&aOptions](const auto& aEntry) {
-    return IsSuspicious(aEntry.second, aOptions);
-  });
+  const auto all = aByRoute.find("");
+  return (all != aByRoute.end() &&
+          IsSlowEverywhere(all->second, aOptions, aOptions.mSlowRollBackSignificance)) ||
+         std::any_of(aByRoute.begin(), aByRoute.end(), [&aOptions](const auto& aEntry) {
+           return IsSuspicious(aEntry.second, aOptions);
+         });
 }
 
 double FractionOf(duration aTime, const shift& aShift)
@@ -210,13 +237,15 @@
                                             bool aIsRampDue)
 {
   const auto byRoute = PoolResults(aShift);
-  const bool canPass = !byRoute.empty() &&
-                       std::all_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
-                         const version_counts& routeCounts = aEntry.second;
-                         return Failures(routeCounts.mNew).Trials() >= aOptions.mMinRouteResults &&
-                                !FailsMore(routeCounts, aOptions, aOptions.mHoldSignificance) &&
-                                !IsSlower(routeCounts, aOptions, aOptions.mHoldSignificance);
-                       });
+  const bool canPass =
+    !byRoute.empty() &&
+    std::all_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
+      const version_counts& routeCounts = aEntry.second;
+      return Failures(routeCounts.mNew).Trials() >= aOptions.mMinRouteResults &&
+             !FailsMore(routeCounts, aOptions, aOptions.mHoldSignificance) &&
+             !IsSlower(routeCounts, aOptions, aOptions.mHoldSignificance) &&
+             !IsSlowEverywhere(routeCounts, aOptions, aOptions.mHoldSignificance);
+    });
   if (canPass) {
     return shift_phase::Passed;
   }
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -56,6 +56,7 @@
   double mSlowRateFloor = 0.15;        ///< rate of slow answers that is tolerated in any version
   double mBadRateFactor = 2;           ///< tolerated rate relative to the old version's
   double mSlowRateFactor = 1.5;        ///< the same for slow answers
+  double mSlowEverywhereShare = 0.75;  ///< of the answers, and of the servers, of a slow version
   double mHaltSignificance = 1e-4;     ///< p-value below which the new version is bad
   double mHoldSignificance = 0.1;      ///< p-value below which the pass waits for more results
   double mRollBackSignificance = 0.01; ///< p-value below which it is not passed but rolled back
@@ -64,6 +65,7 @@
   std::uint64_t mMinRouteResults = 12;    ///< of each route, to pass; enough to detect 50% failures
   std::uint64_t mMinResults = 6;          ///< of all routes, to pass at all, if there is traffic
   std::uint64_t mMinPaceResults = 6;      ///< to compare the pace
+  std::uint64_t mMinSlowEverywhere = 5;   ///< the same if nearly all answers are slow
   std::uint64_t mConclusiveFailures = 25; ///< enough failures even if one server caused them all
   duration mSessionGap = 5s;              ///< after a longer pause a session may change its version
   duration mSessionListDelay = 1200ms;    ///< until each instance publishes its active sessions
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -53,6 +53,15 @@
   }
 }
 
+/// Counts answers by their pace; an empty name is the old version.
+void RecordPaces(shift& aShift, const char* aServer, int aOnPace, int aSlow)
+{
+  const result_key key{ .mIsNew = *aServer != '\0', .mRoute = "r", .mServer = server_id(aServer) };
+  for (int i = 0; i < aOnPace + aSlow; ++i) {
+    RecordPace(aShift, key, i < aSlow);
+  }
+}
+
 } // namespace
 
 TEST_CASE("the share of the new version rises to 1 and never decreases in a shift that passes")
@@ -326,35 +335,47 @@
 TEST_CASE("a version whose answers come several times slower is found bad, a slow server is not")
 {
   const shift_options options;
-  const auto recordPaces = [](shift& aShift, const char* aServer, int aOnPace, int aSlow) {
-    const result_key key{ .mIsNew = *aServer != '\0',
-                          .mRoute = "r",
-                          .mServer = server_id(aServer) };
-    for (int i = 0; i < aOnPace + aSlow; ++i) {
-      RecordPace(aShift, key, i < aSlow);
-    }
-  };
   shift slow = MakeShift();
-  recordPaces(slow, "", 180, 20);
-  recordPaces(slow, "new-1", 1, 6);
-  recordPaces(slow, "new-2", 1, 6);
-  recordPaces(slow, "new-3", 1, 6);
+  RecordPaces(slow, "", 180, 20);
+  RecordPaces(slow, "new-1", 1, 6);
+  RecordPaces(slow, "new-2", 1, 6);
+  RecordPaces(slow, "new-3", 1, 6);
   CHECK(IsNewVersionBad(slow, options));
 
   shift slowServer = MakeShift();
-  recordPaces(slowServer, "", 180, 20);
-  recordPaces(slowServer, "new-1", 0, 20);
-  recordPaces(slowServer, "new-2", 6, 0);
-  recordPaces(slowServer, "new-3", 6, 0);
+  RecordPaces(slowServer, "", 180, 20);
+  RecordPaces(slowServer, "new-1", 0, 20);
+  RecordPaces(slowServer, "new-2", 6, 0);
+  RecordPaces(slowServer, "new-3", 6, 0);
   CHECK_FALSE(IsNewVersionBad(slowServer, options));
 
   shift usual = MakeShift();
-  recordPaces(usual, "", 180, 20);
-  recordPaces(usual, "new-1", 9, 1);
-  recordPaces(usual, "new-2", 9, 1);
+  RecordPaces(usual, "", 180, 20);
+  RecordPaces(usual, "new-1", 9, 1);
+  RecordPaces(usual, "new-2", 9, 1);
   CHECK_FALSE(IsNewVersionBad(usual, options));
 }
 
+TEST_CASE("a slow version with few answers is rolled back though many of the old one's are slow")
+{
+  const auto phaseOnRamp = [](int aOnPace, int aSlow) {
+    shift running = MakeShift();
+    running.mProgress = shift_progress{ .mOrderId = 5 };
+    RecordMany(running, false, "", 460, 5);
+    RecordPaces(running, "", 168, 72);
+    for (const char* const server : { "new-1", "new-2" }) {
+      RecordMany(running, true, server, 8, 0);
+      RecordPaces(running, server, aOnPace, aSlow);
+    }
+    RecordPaces(running, "new-1", 1, 0);
+    return PhaseAt(running, ScheduleOf(running).mRampStart + 0.001);
+  };
+  CHECK(phaseOnRamp(0, 4) == shift_phase::RolledBack);
+  CHECK(phaseOnRamp(0, 3) == shift_phase::RolledBack);
+  CHECK(phaseOnRamp(4, 1) == shift_phase::Passed);
+  CHECK(phaseOnRamp(3, 2) == shift_phase::Passed);
+}
+
 TEST_CASE("an instance with only its own results does not let a shift pass")
 {
   const shift_options options;
