--- a/src/gateway/crash_reports.cpp
+++ b/src/gateway/crash_reports.cpp
@@ -70,7 +70,7 @@
   }
   const time_point broken = net::Now();
   const quarantine::run_stage stage = StageOf(aState, aCall, broken);
-  const backends::server_pointer server = aAttempt.Pointer();
+  const backends::server_pointer& server = aAttempt.Pointer();
   if (co_await AcceptsConnections(server, aCall.mCaller->Executor())) {
     co_return;
   }
--- a/src/quarantine/crash_board.cpp
+++ b/src/quarantine/crash_board.cpp
@@ -142,10 +142,10 @@
 
 } // namespace
 
-void RecordCrash(crash_board& aBoard, crash_record aRecord)
+void RecordCrash(crash_board& aBoard, const crash_record& aRecord)
 {
   if (aBoard.mRecords.size() < aBoard.mOptions.mMaxRecords) {
-    aBoard.mRecords.try_emplace(aRecord.mId, std::move(aRecord));
+    aBoard.mRecords.try_emplace(aRecord.mId, aRecord);
   }
 }
 
--- a/src/quarantine/crash_board.h
+++ b/src/quarantine/crash_board.h
@@ -50,7 +50,7 @@
   duration mLongestTerm = std::chrono::hours(1);
   duration mAnswerMemory = std::chrono::minutes(10); ///< for which answered parts are remembered
   std::size_t mMaxAnswered = 8192;                   ///< parts that are remembered
-  std::size_t mMaxRecords = 4096;                    ///< the oldest are dropped first
+  std::size_t mMaxRecords = 4096;                    ///< further crashes are not recorded
 };
 
 /// A part whose requests are refused. After its term it is on probation for as long again.
@@ -78,7 +78,7 @@
 };
 
 /// Adds a crash, unless it is known.
-void RecordCrash(crash_board& aBoard, crash_record aRecord);
+void RecordCrash(crash_board& aBoard, const crash_record& aRecord);
 
 /// A request with these parts has been answered whole.
 void RecordAnswer(crash_board& aBoard, const std::vector<part_key>& aParts, time_point aAt);
