--- a/review/1/trial.cpp
+++ b/review/1/trial.cpp
@@ -1,4 +1,4 @@
-// Five of nine model runners spoil one in twenty of their answers, in spells of 5.5 s: a sound head, and
+// Nine of 18 model runners spoil one in twenty of their answers, in spells of 5 s: a sound head, and
 // then bytes that are no answer, without end. Counts how often the platform ends a machine's process
 // because its memory is over the limit.
 
@@ -10,13 +10,14 @@
 
 namespace {
 
-constexpr double kLinkBytesPerS = 110e6; ///< for all machines together; the link of one has 125e6
+constexpr double kLinkBytesPerS = 115e6; ///< for all machines together; the link of one has 125e6
 constexpr double kTrialS = 95;
-constexpr double kRequestsPerS = 10; ///< a third of the site's streams, for a third of its machines
-constexpr int kFaultyRunners = 5;    ///< of nine
+constexpr double kRequestsPerS = 22; ///< three eighths of the site's streams, for three of its machines
+constexpr int kRunners = 18;
+constexpr int kFaultyRunners = 9;
 constexpr int kSpoiledOneIn = 20;
-constexpr double kSpellS = 5.5;
-constexpr double kPauseS = 2.5; ///< between two spells
+constexpr double kSpellS = 5;
+constexpr double kPauseS = 2; ///< between two spells
 constexpr int kDeadlineMs = 10000;
 
 bool IsInSpell()
@@ -52,7 +53,7 @@
   store store("127.0.3.1");
   store.Put("op", "config", Configuration());
   std::vector<std::unique_ptr<runner>> runners;
-  for (int i = 0; i < 9; ++i) {
+  for (int i = 0; i < kRunners; ++i) {
     const std::string zone = std::string("zone-") + "abc"[i % 3];
     work doWork = DoSoundWork;
     if (i < kFaultyRunners && HasTrouble()) {
