Show that an answer without end takes a gateway's memory over its limit

The promise: Fault, processes do not end by themselves, memory over the limit included. The case: review/1, model runners that spoil some answers with bytes without end behind a sound head. The bytes to each machine are now held to the pace of its own link, not of one link for all.

--- a/review/1/trial.cpp
+++ b/review/1/trial.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr double kLinkBytesPerS = 115e6; ///< for all machines together; the link of one has 125e6
+constexpr double kLinkBytesPerS = 115e6; ///< to one machine; its link has 125e6
 constexpr double kTrialS = 95;
 constexpr double kRequestsPerS = 22; ///< three eighths of the site's streams, for three of its machines
 constexpr int kRunners = 18;
@@ -25,18 +25,24 @@
   return std::fmod(Now(), kSpellS + kPauseS) >= kPauseS;
 }
 
-/// Sends bytes until the caller closes, no faster than the link of one machine.
-bool SendGarbage(connection& aPeer)
+/// The link of a machine, on which bytes wait for those before them.
+struct link
+{
+  std::mutex mMutex;
+  double mFreeAt = 0;
+};
+
+/// Sends bytes until the caller closes, no faster than the link of its machine.
+bool SendGarbage(connection& aPeer, link& aLink)
 {
-  static std::mutex mutex;
-  static double free = 0;
   const std::string bytes(64 * 1024, 'x');
   while (true) {
     double wait = 0;
     {
-      const std::lock_guard lock(mutex);
-      free = std::max(free, Now()) + static_cast<double>(bytes.size()) / kLinkBytesPerS;
-      wait = free - Now();
+      const std::lock_guard lock(aLink.mMutex);
+      aLink.mFreeAt =
+        std::max(aLink.mFreeAt, Now()) + static_cast<double>(bytes.size()) / kLinkBytesPerS;
+      wait = aLink.mFreeAt - Now();
     }
     Sleep(wait);
     if (!aPeer.Send(bytes)) {
@@ -45,6 +51,27 @@
   }
 }
 
+/// The machines to which clients sent their attempts.
+class link_map
+{
+public:
+  void Put(const std::string& aAttempt, const std::string& aMachine)
+  {
+    const std::lock_guard lock(mMutex);
+    mMachines[aAttempt] = aMachine;
+  }
+  link& Of(const std::string& aAttempt)
+  {
+    const std::lock_guard lock(mMutex);
+    return mLinks[mMachines[aAttempt]];
+  }
+
+private:
+  std::mutex mMutex;
+  std::map<std::string, std::string> mMachines;
+  std::map<std::string, link> mLinks;
+};
+
 } // namespace
 
 int main(int, char** aArguments)
@@ -52,22 +79,23 @@
   record log(std::string(aArguments[1]) + "/record.txt");
   store store("127.0.3.1");
   store.Put("op", "config", Configuration());
+  link_map links;
   std::vector<std::unique_ptr<runner>> runners;
   for (int i = 0; i < kRunners; ++i) {
     const std::string zone = std::string("zone-") + "abc"[i % 3];
     work doWork = DoSoundWork;
     if (i < kFaultyRunners && HasTrouble()) {
-      doWork = [&log, answers = std::make_shared<std::atomic<int>>(0)](
+      doWork = [&log, &links, answers = std::make_shared<std::atomic<int>>(0)](
                  runner& aRunner, connection& aPeer, const message& aRequest) {
         if (!IsInSpell() || ++*answers % kSpoiledOneIn != 0) {
           return DoSoundWork(aRunner, aPeer, aRequest);
         }
-        log.Line("spoiled runner=%s attempt=%s", aRunner.Name().c_str(),
-                 aRequest.Header("x-attempt-id").value_or("").c_str());
+        const std::string attempt = aRequest.Header("x-attempt-id").value_or("");
+        log.Line("spoiled runner=%s attempt=%s", aRunner.Name().c_str(), attempt.c_str());
         aPeer.Send(AnswerHead(aRequest, 200,
                               "Content-Type: text/event-stream\r\nX-Confidence: 90\r\n"
                               "X-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n"));
-        return SendGarbage(aPeer);
+        return SendGarbage(aPeer, links.Of(attempt));
       };
     }
     runners.push_back(std::make_unique<runner>(store, log, "model-" + std::to_string(i), kModelService,
@@ -101,6 +129,7 @@
       const std::string more = "X-Model: *\r\nX-Token-Count: 2890,51\r\nSession: " + session +
                                "\r\nX-Prompt-Prefix: 5c1e07a2:2520," + std::to_string(1000 + static_cast<int>(Random() * 66)) +
                                ":3780," + part + ":2890\r\n";
+      links.Put(attempt, front.Name());
       log.Line("sent attempt=%s machine=%s", attempt.c_str(), front.Name().c_str());
       const answer got =
         Call(front.Front(),
