--- a/review/1/trial.cpp
+++ b/review/1/trial.cpp
@@ -1,6 +1,6 @@
-// Nine of 18 model runners spoil one in twenty of their answers, in spells of 5 s: a sound head, and
-// then bytes that are no answer, without end. Counts how often the platform ends a machine's process
-// because its memory is over the limit.
+// Nine of 18 model runners spoil one in twenty of their answers, in spells of 5 s: a sound head,
+// and then bytes that are no answer, without end. Counts how often the platform ends a machine's
+// process because its memory is over the limit.
 
 #include "deployment.h"
 
@@ -12,7 +12,8 @@
 
 constexpr double kLinkBytesPerS = 115e6; ///< to one machine; its link has 125e6
 constexpr double kTrialS = 95;
-constexpr double kRequestsPerS = 22; ///< three eighths of the site's streams, for three of its machines
+constexpr double kRequestsPerS =
+  22; ///< three eighths of the site's streams, for three of its machines
 constexpr int kRunners = 18;
 constexpr int kFaultyRunners = 9;
 constexpr int kSpoiledOneIn = 20;
@@ -98,8 +99,9 @@
         return SendGarbage(aPeer, links.Of(attempt));
       };
     }
-    runners.push_back(std::make_unique<runner>(store, log, "model-" + std::to_string(i), kModelService,
-                                               "127.0.2." + std::to_string(i + 1), zone, 128, doWork));
+    runners.push_back(std::make_unique<runner>(store, log, "model-" + std::to_string(i),
+                                               kModelService, "127.0.2." + std::to_string(i + 1),
+                                               zone, 128, doWork));
   }
   fleet fleet(log, store);
   if (!fleet.AwaitReady()) {
@@ -127,15 +129,17 @@
       const std::string part = NewAttempt();
       const std::string session = NewAttempt();
       const std::string more = "X-Model: *\r\nX-Token-Count: 2890,51\r\nSession: " + session +
-                               "\r\nX-Prompt-Prefix: 5c1e07a2:2520," + std::to_string(1000 + static_cast<int>(Random() * 66)) +
-                               ":3780," + part + ":2890\r\n";
+                               "\r\nX-Prompt-Prefix: 5c1e07a2:2520," +
+                               std::to_string(1000 + static_cast<int>(Random() * 66)) + ":3780," +
+                               part + ":2890\r\n";
       links.Put(attempt, front.Name());
       log.Line("sent attempt=%s machine=%s", attempt.c_str(), front.Name().c_str());
-      const answer got =
-        Call(front.Front(),
-             Request("POST", kHost, "/lohu930/2f", attempt, kDeadlineMs, kKey, more, "licence papers"),
-             kDeadlineMs / 1000.0);
-      log.Line("answered attempt=%s status=%d whole=%d", attempt.c_str(), got.mStatus, got.mIsWhole);
+      const answer got = Call(
+        front.Front(),
+        Request("POST", kHost, "/lohu930/2f", attempt, kDeadlineMs, kKey, more, "licence papers"),
+        kDeadlineMs / 1000.0);
+      log.Line("answered attempt=%s status=%d whole=%d", attempt.c_str(), got.mStatus,
+               got.mIsWhole);
       ++(got.mIsWhole ? whole : cut);
       --open;
     }).detach();
@@ -148,13 +152,15 @@
   for (const auto& each : fleet.mMachines) {
     log.Line("machine=%s ended by itself %d times", each->Name().c_str(), each->EndsByItself());
   }
-  log.Line("requests sent=%d answered whole=%d not whole=%d", sent.load(), whole.load(), cut.load());
+  log.Line("requests sent=%d answered whole=%d not whole=%d", sent.load(), whole.load(),
+           cut.load());
   const bool isBroken = ended >= 2;
   log.Line("%s: Fault: processes of %d of 3 machines ended by themselves three times",
            isBroken ? "BROKEN" : "held", ended);
-  std::printf("%s: processes of %d of 3 machines ended by themselves three times; %d of %d requests "
-              "without a whole answer\n",
-              isBroken ? "BROKEN" : "held", ended, cut.load(), sent.load());
+  std::printf(
+    "%s: processes of %d of 3 machines ended by themselves three times; %d of %d requests "
+    "without a whole answer\n",
+    isBroken ? "BROKEN" : "held", ended, cut.load(), sent.load());
   fleet.Stop();
   End(isBroken ? kBroken : kHeld);
 }
--- a/review/2/trial.cpp
+++ b/review/2/trial.cpp
@@ -1,6 +1,6 @@
-// One lookup crashes each application runner that begins to run it, and its caller sends it again, with
-// the same path, caller and body. Counts the repeats that reach a runner later than `stableWindowMs`
-// after the third crash.
+// One lookup crashes each application runner that begins to run it, and its caller sends it again,
+// with the same path, caller and body. Counts the repeats that reach a runner later than
+// `stableWindowMs` after the third crash.
 
 #include "deployment.h"
 
@@ -11,11 +11,11 @@
 namespace {
 
 constexpr double kTrialS = 30;
-constexpr double kFirstS = 3;         ///< when the request comes for the first time
-constexpr double kAgainS = 2.5;       ///< after its answer, the caller sends it again
-constexpr double kDownS = 3;          ///< a runner that crashed is back after it
+constexpr double kFirstS = 3;   ///< when the request comes for the first time
+constexpr double kAgainS = 2.5; ///< after its answer, the caller sends it again
+constexpr double kDownS = 3;    ///< a runner that crashed is back after it
 constexpr double kStableWindowS = 3;
-constexpr int kMostRetries = 3;       ///< that may reach a runner
+constexpr int kMostRetries = 3; ///< that may reach a runner
 constexpr double kSoundPerS = 4;
 constexpr int kDeadlineMs = 1000;
 const std::string kDeadlyTarget = "/cufi504/fi50/2f";
@@ -86,8 +86,9 @@
         deadly.mSent[attempt] = Now();
       }
       log.Line("sent deadly attempt=%s machine=%s", attempt.c_str(), front.Name().c_str());
-      const answer got = Call(
-        front.Front(), Request("GET", kHost, kDeadlyTarget, attempt, kDeadlineMs, kKey, "", ""), 1.5);
+      const answer got =
+        Call(front.Front(),
+             Request("GET", kHost, kDeadlyTarget, attempt, kDeadlineMs, kKey, "", ""), 1.5);
       log.Line("answered deadly attempt=%s status=%d", attempt.c_str(), got.mStatus);
       Sleep(kAgainS);
     }
@@ -100,9 +101,9 @@
       machine& front = fleet.Next();
       const std::string attempt = NewAttempt();
       log.Line("sent unsafe attempt=%s machine=%s", attempt.c_str(), front.Name().c_str());
-      const answer got =
-        Call(front.Front(),
-             Request("POST", kHost, "/puxa403/2f", attempt, kDeadlineMs, kKey, "", "activate one"), 1.5);
+      const answer got = Call(
+        front.Front(),
+        Request("POST", kHost, "/puxa403/2f", attempt, kDeadlineMs, kKey, "", "activate one"), 1.5);
       bool hasRun = false;
       {
         const std::lock_guard lock(deadly.mMutex);
@@ -125,17 +126,19 @@
     const std::lock_guard lock(deadly.mMutex);
     crashes = static_cast<int>(deadly.mCrashes.size());
     for (const std::string& attempt : deadly.mReached) {
-      retries += crashes >= 3 && deadly.mSent[attempt] > deadly.mCrashes[2] + kStableWindowS ? 1 : 0;
+      retries +=
+        crashes >= 3 && deadly.mSent[attempt] > deadly.mCrashes[2] + kStableWindowS ? 1 : 0;
     }
   }
   const bool isBroken = retries > kMostRetries;
   const char* const verdict = isBroken ? "BROKEN" : "held";
   char text[512];
-  std::snprintf(text, sizeof text,
-                "%s: BUDGET: %d retries of the request reached a runner later than 3 s after its third "
-                "crash, 3 may; %d crashes; of %d sound unsafe requests %d ran and got no answer of their "
-                "runner, %d were not run",
-                verdict, retries, crashes, sound.load(), lost.load(), refused.load());
+  std::snprintf(
+    text, sizeof text,
+    "%s: BUDGET: %d retries of the request reached a runner later than 3 s after its third "
+    "crash, 3 may; %d crashes; of %d sound unsafe requests %d ran and got no answer of their "
+    "runner, %d were not run",
+    verdict, retries, crashes, sound.load(), lost.load(), refused.load());
   log.Line("%s", text);
   std::puts(text);
   fleet.Stop();
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -15,11 +15,12 @@
 {
   const auto route = [](const char* aName, const char* aPrefix, const char* aKind,
                         const std::string& aService, int aTimeoutMs, int aTargetMs, int aAttempts) {
-    json result{ { "name", aName },           { "host", kHost },
-                 { "prefix", aPrefix },       { "kind", aKind },
-                 { "timeoutMs", aTimeoutMs }, { "targetLatencyMs", aTargetMs },
-                 { "priority", 1 },           { "service", aService },
-                 { "maxAttempts", aAttempts }, { "allowAnonymous", false } };
+    json result{
+      { "name", aName },          { "host", kHost },           { "prefix", aPrefix },
+      { "kind", aKind },          { "timeoutMs", aTimeoutMs }, { "targetLatencyMs", aTargetMs },
+      { "priority", 1 },          { "service", aService },     { "maxAttempts", aAttempts },
+      { "allowAnonymous", false }
+    };
     if (aKind == std::string("streaming")) {
       result["sizes"] = { "daka510000", "rada7437b5", "ravo486f6a" };
       result["stickySessions"] = true;
@@ -28,23 +29,34 @@
     }
     return result;
   };
-  return json{
-    { "version", 7 },
-    { "routes",
-      { route("doc-review", "/lohu930/", "streaming", kModelService, 10000, 4000, 3),
-        route("activate", "/puxa403/", "unsafe", kAppService, 1000, 150, 1),
-        route("status-lookup", "/cufi504/", "safe", kAppService, 1000, 150, 2) } },
-    { "services",
-      { { { "name", kModelService }, { "healthPath", "/healthz" }, { "maxConnections", 630 },
-          { "protocol", "h1" }, { "tls", false }, { "coldStartS", 3.0 }, { "coldPerS", 9.0 } },
-        { { "name", kAppService }, { "healthPath", "/healthz" }, { "maxConnections", 110 },
-          { "protocol", "h1" }, { "tls", false }, { "coldStartS", 0.0 }, { "coldPerS", 0.0 } } } },
-    { "limits",
-      { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 }, { "headerTimeoutMs", 3000 },
-        { "idleTimeoutMs", 15000 } } },
-    { "tenants",
-      json::array({ { { "name", kTenant }, { "apiKeys", json::array({ kKey }) }, { "priority", 1 } } }) }
-  };
+  return json{ { "version", 7 },
+               { "routes",
+                 { route("doc-review", "/lohu930/", "streaming", kModelService, 10000, 4000, 3),
+                   route("activate", "/puxa403/", "unsafe", kAppService, 1000, 150, 1),
+                   route("status-lookup", "/cufi504/", "safe", kAppService, 1000, 150, 2) } },
+               { "services",
+                 { { { "name", kModelService },
+                     { "healthPath", "/healthz" },
+                     { "maxConnections", 630 },
+                     { "protocol", "h1" },
+                     { "tls", false },
+                     { "coldStartS", 3.0 },
+                     { "coldPerS", 9.0 } },
+                   { { "name", kAppService },
+                     { "healthPath", "/healthz" },
+                     { "maxConnections", 110 },
+                     { "protocol", "h1" },
+                     { "tls", false },
+                     { "coldStartS", 0.0 },
+                     { "coldPerS", 0.0 } } } },
+               { "limits",
+                 { { "maxHeaderBytes", 16384 },
+                   { "maxBodyBytes", 4194304 },
+                   { "headerTimeoutMs", 3000 },
+                   { "idleTimeoutMs", 15000 } } },
+               { "tenants", json::array({ { { "name", kTenant },
+                                            { "apiKeys", json::array({ kKey }) },
+                                            { "priority", 1 } } }) } };
 }
 
 std::string StreamEvent(int aId)
@@ -66,7 +78,8 @@
   constexpr double kPlainS = 0.03;
   if (aRequest.Target().rfind("/lohu930/", 0) != 0) {
     return Work(aPeer, kPlainS) &&
-           aPeer.Send(Answer(aRequest, 200, "done " + aRequest.Header("x-attempt-id").value_or("")));
+           aPeer.Send(
+             Answer(aRequest, 200, "done " + aRequest.Header("x-attempt-id").value_or("")));
   }
   const int last = std::atoi(aRequest.Header("last-event-id").value_or("0").c_str());
   if (!Work(aPeer, kFirstEventS) ||
@@ -97,8 +110,8 @@
   constexpr int kMemoryMb = 260;
   for (std::size_t i = 0; i < ips.size(); ++i) {
     mMachines.push_back(std::make_unique<machine>(aRecord, aStore.Address(), mFolder,
-                                                  "front-" + zones[i] + "-1", ips[i], zones[i], base,
-                                                  seeds, json::object(), kMemoryMb));
+                                                  "front-" + zones[i] + "-1", ips[i], zones[i],
+                                                  base, seeds, json::object(), kMemoryMb));
   }
 }
 
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -472,9 +472,8 @@
 
 store::store(const std::string& aIp)
 {
-  mServer = std::make_unique<server>(aIp, 0, [this](connection& aPeer, const message& aRequest) {
-    return Handle(aPeer, aRequest);
-  });
+  mServer = std::make_unique<server>(
+    aIp, 0, [this](connection& aPeer, const message& aRequest) { return Handle(aPeer, aRequest); });
 }
 
 void store::Put(const std::string& aTable, const std::string& aKey, const json& aValue)
@@ -507,7 +506,9 @@
     if (row.mVersion <= aAfter || (row.mIsRemoved && !aWithRemoved) || key < aFrom) {
       continue;
     }
-    json entry{ { "table", aTable }, { "part", "" }, { "key", key }, { "rowVersion", row.mVersion } };
+    json entry{
+      { "table", aTable }, { "part", "" }, { "key", key }, { "rowVersion", row.mVersion }
+    };
     if (row.mIsRemoved) {
       entry["removed"] = true;
     } else {
@@ -565,7 +566,8 @@
     body["hasMore"] = false;
   } else if (target.rfind("/rows-feed?", 0) == 0) {
     const std::uint64_t after = std::stoull(Parameter(target, "after"));
-    const auto end = clock::now() + std::chrono::milliseconds(std::stoi(Parameter(target, "waitMs")));
+    const auto end =
+      clock::now() + std::chrono::milliseconds(std::stoi(Parameter(target, "waitMs")));
     while (RowsAfter(table, after, true, "").empty() && clock::now() < end) {
       mChanged.wait_until(lock, end);
     }
@@ -597,10 +599,10 @@
   , mWork(std::move(aWork))
   , mId(mName + "-0")
 {
-  mServer = std::make_unique<server>(std::move(aIp), 0,
-                                     [this](connection& aPeer, const message& aRequest) {
-                                       return Handle(aPeer, aRequest);
-                                     });
+  mServer =
+    std::make_unique<server>(std::move(aIp), 0, [this](connection& aPeer, const message& aRequest) {
+      return Handle(aPeer, aRequest);
+    });
   Announce();
 }
 
@@ -666,7 +668,8 @@
     if (aRequest.Target().rfind("/healthz", 0) == 0) {
       const std::string id = mId;
       lock.unlock();
-      return aPeer.Send("HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+      return aPeer.Send("HTTP/1.1 200 OK\r\nX-Instance-Id: " + id +
+                        "\r\nContent-Length: 0\r\n\r\n");
     }
     if (attempt.empty()) {
       lock.unlock();
@@ -692,8 +695,8 @@
     }
     ++mBusy;
   }
-  mRecord.Line("run runner=%s attempt=%s request=\"%s %s\" body=%zu bytes deadline=%s", mName.c_str(),
-               attempt.c_str(), aRequest.Method().c_str(), aRequest.Target().c_str(),
+  mRecord.Line("run runner=%s attempt=%s request=\"%s %s\" body=%zu bytes deadline=%s",
+               mName.c_str(), attempt.c_str(), aRequest.Method().c_str(), aRequest.Target().c_str(),
                aRequest.mBody.size(), aRequest.Header("x-deadline-ms").value_or("none").c_str());
   const bool isKept = mWork(*this, aPeer, aRequest);
   const std::lock_guard lock(mMutex);
@@ -708,8 +711,8 @@
 {
   return "HTTP/1.1 " + std::to_string(aStatus) +
          " X\r\nX-Attempt-Id: " + aRequest.Header("x-attempt-id").value_or("") +
-         "\r\nX-Response-Seal: seal." + aRequest.Header("x-attempt-id").value_or("") + "\r\n" + aMore +
-         "\r\n";
+         "\r\nX-Response-Seal: seal." + aRequest.Header("x-attempt-id").value_or("") + "\r\n" +
+         aMore + "\r\n";
 }
 
 std::string Answer(const message& aRequest, int aStatus, const std::string& aBody)
@@ -741,15 +744,32 @@
   , mBasePort(aBasePort)
   , mMemoryBytes(static_cast<std::int64_t>(aMemoryMb) * 1024 * 1024)
 {
-  const auto at = [&](int aOffset) { return endpoint{ aIp, static_cast<std::uint16_t>(aBasePort + aOffset) }.Text(); };
-  json bounds{ { "seedLagS", 3 },          { "reuseAfterS", 2 },      { "stableWindowMs", 3000 },
-               { "ackMs", 4000 },          { "catchUpS", 4 },         { "drainMs", 2000 },
-               { "graceS", 8 },            { "lossSlackMs", 200 },    { "configApplyMs", 2000 },
-               { "rollbackSlackMs", 250 }, { "outerMs", 5000 },       { "failClosed", false },
-               { "revokeMs", 5000 },       { "retryBudgetRatio", 0.9 }, { "budgetWindowS", 10 },
-               { "retryBudgetSlack", 58 }, { "exposureShare", 0.15 }, { "exposureSlack", 30 },
-               { "rollbackMs", 5000 },     { "evacuateMs", 5000 },    { "recoveryS", 12 },
-               { "passMs", 120 },          { "sessionS", 5 } };
+  const auto at = [&](int aOffset) {
+    return endpoint{ aIp, static_cast<std::uint16_t>(aBasePort + aOffset) }.Text();
+  };
+  json bounds{ { "seedLagS", 3 },
+               { "reuseAfterS", 2 },
+               { "stableWindowMs", 3000 },
+               { "ackMs", 4000 },
+               { "catchUpS", 4 },
+               { "drainMs", 2000 },
+               { "graceS", 8 },
+               { "lossSlackMs", 200 },
+               { "configApplyMs", 2000 },
+               { "rollbackSlackMs", 250 },
+               { "outerMs", 5000 },
+               { "failClosed", false },
+               { "revokeMs", 5000 },
+               { "retryBudgetRatio", 0.9 },
+               { "budgetWindowS", 10 },
+               { "retryBudgetSlack", 58 },
+               { "exposureShare", 0.15 },
+               { "exposureSlack", 30 },
+               { "rollbackMs", 5000 },
+               { "evacuateMs", 5000 },
+               { "recoveryS", 12 },
+               { "passMs", 120 },
+               { "sessionS", 5 } };
   bounds.update(aBounds);
   const json settings{
     { "nodeName", aName },
@@ -766,21 +786,31 @@
     { "bootstrap", true },
     { "faultCounted", false },
     { "limits",
-      { { "cpuShare", 0.25 }, { "cores", 1 }, { "memoryMb", aMemoryMb }, { "maxFds", 4100 },
-        { "linkMbps", 1000.0 }, { "diskMb", 0 } } },
+      { { "cpuShare", 0.25 },
+        { "cores", 1 },
+        { "memoryMb", aMemoryMb },
+        { "maxFds", 4100 },
+        { "linkMbps", 1000.0 },
+        { "diskMb", 0 } } },
     { "dataDir", nullptr },
     { "discovery", "platform" },
     { "entry", "virtual_ip" },
     { "heartbeatMs", 1200 },
     { "contracts",
-      { "base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "places",
-        "platform", "rollout" } },
+      { "base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants",
+        "places", "platform", "rollout" } },
     { "faultTolerance", { { "machines", 1 }, { "zones", 1 }, { "regions", 0 } } },
     { "bounds", bounds },
     { "platform",
-      { { "address", aStore.Text() }, { "form", "table" }, { "writesPerS", 400 },
-        { "readsPerS", 2000 }, { "txMs", 3.0 }, { "partWritesPerS", 300 }, { "rowBytes", 65536 },
-        { "across", true }, { "historyS", 20 } } }
+      { { "address", aStore.Text() },
+        { "form", "table" },
+        { "writesPerS", 400 },
+        { "readsPerS", 2000 },
+        { "txMs", 3.0 },
+        { "partWritesPerS", 300 },
+        { "rowBytes", 65536 },
+        { "across", true },
+        { "historyS", 20 } } }
   };
   std::ofstream(mFolder + "/" + mName + ".json") << settings.dump(2) << '\n';
   Start();
@@ -917,15 +947,16 @@
   return result;
 }
 
-std::string Request(const std::string& aMethod, const std::string& aHost, const std::string& aTarget,
-                    const std::string& aAttempt, int aDeadlineMs, const std::string& aKey,
-                    const std::string& aMoreHeaders, const std::string& aBody)
+std::string Request(const std::string& aMethod, const std::string& aHost,
+                    const std::string& aTarget, const std::string& aAttempt, int aDeadlineMs,
+                    const std::string& aKey, const std::string& aMoreHeaders,
+                    const std::string& aBody)
 {
   return aMethod + " " + aTarget + " HTTP/1.1\r\nHost: " + aHost + "\r\nX-Attempt-Id: " + aAttempt +
          "\r\nX-Deadline-Ms: " + std::to_string(aDeadlineMs) + "\r\nAuthorization: Bearer " + aKey +
          "\r\n" + aMoreHeaders +
-         (aBody.empty() ? "" : "Content-Length: " + std::to_string(aBody.size()) + "\r\n") + "\r\n" +
-         aBody;
+         (aBody.empty() ? "" : "Content-Length: " + std::to_string(aBody.size()) + "\r\n") +
+         "\r\n" + aBody;
 }
 
 std::string NewAttempt()
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -53,7 +53,8 @@
 /// A listening socket on `aIp`; on any free port if `aPort` is 0. Returns -1 if it is taken.
 int Listen(const std::string& aIp, std::uint16_t& aPort);
 /// A connected socket, or -1.
-/// \param aReceiveBuffer bytes that the kernel keeps for a reader that is slow; 0: as the system sets it
+/// \param aReceiveBuffer bytes that the kernel keeps for a reader that is slow; 0: as the system
+/// sets it
 int Connect(const endpoint& aTo, double aLimitS, int aReceiveBuffer = 0);
 
 struct message
@@ -259,9 +260,10 @@
 /// Sends one client attempt on a connection of its own and waits for the answer until its deadline.
 answer Call(const endpoint& aFront, const std::string& aBytes, double aDeadlineS);
 /// A request as a client sends it.
-std::string Request(const std::string& aMethod, const std::string& aHost, const std::string& aTarget,
-                    const std::string& aAttempt, int aDeadlineMs, const std::string& aKey,
-                    const std::string& aMoreHeaders, const std::string& aBody);
+std::string Request(const std::string& aMethod, const std::string& aHost,
+                    const std::string& aTarget, const std::string& aAttempt, int aDeadlineMs,
+                    const std::string& aKey, const std::string& aMoreHeaders,
+                    const std::string& aBody);
 /// A new id of a client attempt.
 std::string NewAttempt();
 
