Refuse a request when its unparsed bytes exceed the buffer's bound

Now the buffer holds the configured limit of the header and the bytes of pipelined requests, and the caller gets 400. A header over its limit still gets 431, which the second test checks.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -280,6 +280,8 @@
     }
   }
 
+  // The parser consumes a body as it arrives, but not an unfinished chunk size line or trailer.
+  connection.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxPipelinedBytes);
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
--- /dev/null
+++ b/src/net/http_server_test.cpp
@@ -0,0 +1,90 @@
+#include "net/http_server.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace tamarackweir;
+using namespace tamarackweir::net;
+
+namespace {
+
+/// Bytes that the two kernels' buffers of a loopback connection hold at most.
+constexpr std::size_t kKernelBytes = 16U << 20U;
+
+/// What a caller has seen of a connection on which it sent bytes without end.
+struct endless_upload
+{
+  std::size_t mSentBytes = 0;
+  std::string mAnswer;
+  bool mIsDone = false;
+};
+
+task<> Send(std::shared_ptr<tcp::socket> aSocket, std::string aHead, std::string aRepeated,
+            endless_upload& aUpload)
+{
+  error_code failure;
+  co_await asio::async_write(*aSocket, asio::buffer(aHead),
+                             asio::redirect_error(asio::use_awaitable, failure));
+  while (!failure) {
+    aUpload.mSentBytes += co_await asio::async_write(
+      *aSocket, asio::buffer(aRepeated), asio::redirect_error(asio::use_awaitable, failure));
+  }
+}
+
+task<> Receive(std::shared_ptr<tcp::socket> aSocket, endless_upload& aUpload)
+{
+  error_code failure;
+  co_await asio::async_read(*aSocket, asio::dynamic_buffer(aUpload.mAnswer),
+                            asio::redirect_error(asio::use_awaitable, failure));
+  aUpload.mIsDone = true;
+}
+
+/// Sends `aHead` and then `aRepeated` again and again, until the server closes or 3 s are over.
+endless_upload Upload(const std::string& aHead, const std::string& aRepeated)
+{
+  asio::io_context loop{ 1 };
+  const caller_limits limits;
+  http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                             .mLimits = &limits,
+                             .mHandler = [](std::shared_ptr<caller_connection> aCaller,
+                                            std::shared_ptr<inbound_request>) -> task<> {
+                               outbound_answer answer{ http::status::ok, 11 };
+                               co_await aCaller->Answer(answer);
+                             } });
+  server.Start();
+  const auto socket = std::make_shared<tcp::socket>(loop);
+  socket->connect(server.Address());
+  endless_upload upload;
+  Spawn(loop.get_executor(), "send", Send(socket, aHead, aRepeated, upload));
+  Spawn(loop.get_executor(), "receive", Receive(socket, upload));
+  const time_point end = Now() + 3s;
+  while (!upload.mIsDone && Now() < end) {
+    loop.run_one_for(10ms);
+  }
+  return upload;
+}
+
+} // namespace
+
+// Guards against a process that a caller's endless request takes over its memory limit.
+TEST_CASE("a request that the parser can't consume is refused after a bounded number of bytes")
+{
+  const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes(64UL * 1024, 'x');
+  for (const char* const start : { "", "5;name=", "0\r\nName: " }) {
+    CAPTURE(start);
+    const endless_upload upload = Upload(chunked + start, bytes);
+    CHECK(upload.mIsDone);
+    CHECK(upload.mAnswer.starts_with("HTTP/1.1 400 "));
+    CHECK(upload.mSentBytes < kKernelBytes);
+  }
+}
+
+// Guards against a bound on unparsed bytes that is below the configured limit of the header.
+TEST_CASE("a header over the configured limit is refused as too large, not as malformed")
+{
+  const endless_upload upload =
+    Upload("GET / HTTP/1.1\r\nHost: h\r\nName: ", std::string(1024, 'x'));
+  CHECK(upload.mAnswer.starts_with("HTTP/1.1 431 "));
+}
