--- a/src/gateway/crash_reports.cpp
+++ b/src/gateway/crash_reports.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-std::string ToHex(const std::vector<quarantine::part_key>& aParts)
+std::string ToHex(const std::vector<quarantine::cause_key>& aParts)
 {
   std::string text;
-  for (const quarantine::part_key part : aParts) {
+  for (const quarantine::cause_key part : aParts) {
     std::array<char, 24> digits{};
     std::snprintf(digits.data(), digits.size(), "%016llx",
                   static_cast<unsigned long long>(part.Value()));
@@ -47,9 +47,9 @@
 
 } // namespace
 
-std::vector<quarantine::part_key> SharedParts(const call& aCall)
+std::vector<quarantine::cause_key> SharedParts(const call& aCall)
 {
-  std::vector<quarantine::part_key> parts;
+  std::vector<quarantine::cause_key> parts;
   for (std::size_t i = 0; i + 1 < aCall.mHeader.mParts.size(); ++i) {
     parts.emplace_back(aCall.mHeader.mParts[i].mId);
   }
@@ -64,7 +64,7 @@
 
 net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt& aAttempt)
 {
-  const std::vector<quarantine::part_key> parts = SharedParts(aCall);
+  const std::vector<quarantine::cause_key> parts = SharedParts(aCall);
   if (parts.empty() || aCall.mIsWithdrawn || aCall.mCaller->IsGone()) {
     co_return;
   }
@@ -103,7 +103,7 @@
   }
 }
 
-void OnQuarantined(gateway_state& aState, const std::vector<quarantine::part_key>& aParts,
+void OnQuarantined(gateway_state& aState, const std::vector<quarantine::cause_key>& aParts,
                    const char* aSource)
 {
   if (aParts.empty()) {
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -8,7 +8,7 @@
 namespace tamarackweir::gateway {
 
 /// Parts of the call's prompt that other requests may share: all but the last one.
-std::vector<quarantine::part_key> SharedParts(const call& aCall);
+std::vector<quarantine::cause_key> SharedParts(const call& aCall);
 
 /// Whether the call must not reach a server, because a part of its prompt crashes servers.
 bool IsQuarantined(const gateway_state& aState, const call& aCall);
@@ -25,7 +25,7 @@
 
 /// Logs new quarantines, and withdraws requests with these parts that wait at servers.
 /// \param aSource for the log: "own" or "peer", the instance that decided
-void OnQuarantined(gateway_state& aState, const std::vector<quarantine::part_key>& aParts,
+void OnQuarantined(gateway_state& aState, const std::vector<quarantine::cause_key>& aParts,
                    const char* aSource);
 
 /// Registers a call with the gateway's state while it is handled, so that it can be withdrawn.
--- a/src/quarantine/crash_board.cpp
+++ b/src/quarantine/crash_board.cpp
@@ -23,7 +23,7 @@
   std::size_t mPosition = 0;                      ///< in the prompt, the furthest back
 };
 
-time_point LastAnswer(const crash_board& aBoard, part_key aPart)
+time_point LastAnswer(const crash_board& aBoard, cause_key aPart)
 {
   const auto found = aBoard.mAnswered.find(aPart);
   return found == aBoard.mAnswered.end() ? time_point::min() : found->second;
@@ -48,10 +48,10 @@
   return suspects;
 }
 
-std::map<part_key, evidence> CollectEvidence(const crash_board& aBoard, time_point aNow)
+std::map<cause_key, evidence> CollectEvidence(const crash_board& aBoard, time_point aNow)
 {
   const crash_options& options = aBoard.mOptions;
-  std::map<part_key, evidence> all;
+  std::map<cause_key, evidence> all;
   for (const auto& [id, record] : aBoard.mRecords) {
     if (aNow - record.mAt > options.mMemory || IsQuarantined(aBoard, record.mParts, aNow)) {
       continue;
@@ -99,7 +99,7 @@
 /// A suspected part with the evidence against it.
 struct suspect
 {
-  part_key mPart;
+  cause_key mPart;
   int mWeight = 0;
   std::size_t mPosition = 0;
 };
@@ -118,7 +118,7 @@
 
 /// The part with most evidence against it, if that is enough. Of parts with the same evidence the
 /// one further back in the prompt is taken, as fewer requests share it.
-std::optional<part_key> WorstOf(const std::vector<suspect>& aSuspects, const crash_board& aBoard,
+std::optional<cause_key> WorstOf(const std::vector<suspect>& aSuspects, const crash_board& aBoard,
                                 time_point aNow)
 {
   const crash_options& options = aBoard.mOptions;
@@ -149,17 +149,17 @@
   }
 }
 
-void RecordAnswer(crash_board& aBoard, const std::vector<part_key>& aParts, time_point aAt)
+void RecordAnswer(crash_board& aBoard, const std::vector<cause_key>& aParts, time_point aAt)
 {
-  for (const part_key part : aParts) {
+  for (const cause_key part : aParts) {
     time_point& answered = aBoard.mAnswered[part];
     answered = std::max(answered, aAt);
   }
 }
 
-bool IsQuarantined(const crash_board& aBoard, const std::vector<part_key>& aParts, time_point aNow)
+bool IsQuarantined(const crash_board& aBoard, const std::vector<cause_key>& aParts, time_point aNow)
 {
-  return std::any_of(aParts.begin(), aParts.end(), [&](part_key aPart) {
+  return std::any_of(aParts.begin(), aParts.end(), [&](cause_key aPart) {
     const auto found = aBoard.mQuarantined.find(aPart);
     return found != aBoard.mQuarantined.end() &&
            aNow < found->second.mSince + found->second.mTerm &&
@@ -167,10 +167,10 @@
   });
 }
 
-std::optional<part_key> QuarantineWorstSuspect(crash_board& aBoard, time_point aNow)
+std::optional<cause_key> QuarantineWorstSuspect(crash_board& aBoard, time_point aNow)
 {
   const std::vector<suspect> suspects = FindSuspects(aBoard, aNow);
-  std::map<part_key, time_point> suspected;
+  std::map<cause_key, time_point> suspected;
   for (const suspect& found : suspects) {
     const auto before = aBoard.mSuspected.find(found.mPart);
     suspected[found.mPart] = before == aBoard.mSuspected.end() ? aNow : before->second;
--- a/src/quarantine/crash_board.h
+++ b/src/quarantine/crash_board.h
@@ -12,7 +12,7 @@
 namespace tamarackweir::quarantine {
 
 /// Hash of the id of a prompt part.
-using part_key = strong_type<struct part_key_tag, std::uint64_t>;
+using cause_key = strong_type<struct cause_key_tag, std::uint64_t>;
 
 /// How far the answer to a request had come when its backend server crashed.
 enum class run_stage
@@ -28,7 +28,7 @@
   std::uint64_t mId = 0;     ///< hash of the attempt and the server; equal records merge
   std::uint64_t mServer = 0; ///< hash of the server's id and start
   run_stage mStage = run_stage::Waiting;
-  std::vector<part_key> mParts; ///< those that other requests may share, in the prompt's order
+  std::vector<cause_key> mParts; ///< those that other requests may share, in the prompt's order
   time_point mAt{};             ///< by the clock of this instance
   bool mIsOwn = false;          ///< seen by this instance, not reported by another one
 };
@@ -55,7 +55,7 @@
 
 /// Requests with the part are refused for `mTerm`. Then it is on probation for the same time: one
 /// crash quarantines it again.
-struct quarantined_part
+struct quarantine_entry
 {
   time_point mSince{};
   duration mTerm{};
@@ -72,27 +72,27 @@
   crash_options mOptions;
   std::map<std::uint64_t, crash_record> mRecords;
   /// Time of the last complete answer to a request with the part, at any instance.
-  std::unordered_map<part_key, time_point> mAnswered;
-  std::map<part_key, time_point> mSuspected; ///< time since which the part is suspected
-  std::map<part_key, quarantined_part> mQuarantined;
+  std::unordered_map<cause_key, time_point> mAnswered;
+  std::map<cause_key, time_point> mSuspected; ///< time since which the part is suspected
+  std::map<cause_key, quarantine_entry> mQuarantined;
   /// Parts whose answers another instance wants to know, and until when.
-  std::unordered_map<part_key, time_point> mWatched;
+  std::unordered_map<cause_key, time_point> mWatched;
 };
 
 /// Adds a crash, unless it is known.
 void RecordCrash(crash_board& aBoard, const crash_record& aRecord);
 
 /// Records a complete answer to a request with these parts.
-void RecordAnswer(crash_board& aBoard, const std::vector<part_key>& aParts, time_point aAt);
+void RecordAnswer(crash_board& aBoard, const std::vector<cause_key>& aParts, time_point aAt);
 
 /// Whether a request with one of these parts must not reach a server. A part of which a request has
 /// been answered since its quarantine began is free again.
-bool IsQuarantined(const crash_board& aBoard, const std::vector<part_key>& aParts, time_point aNow);
+bool IsQuarantined(const crash_board& aBoard, const std::vector<cause_key>& aParts, time_point aNow);
 
 /// Decides which parts are suspected of the known crashes, and quarantines the one with most
 /// evidence against it, if that is enough. Only one at a time, since a quarantined part explains
 /// crashes, and so clears the parts beside it.
-std::optional<part_key> QuarantineWorstSuspect(crash_board& aBoard, time_point aNow);
+std::optional<cause_key> QuarantineWorstSuspect(crash_board& aBoard, time_point aNow);
 
 /// Removes records, answers and quarantines that have expired.
 void RemoveExpired(crash_board& aBoard, time_point aNow);
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -11,11 +11,11 @@
 namespace {
 
 constexpr time_point kStart = time_point(1000s);
-const part_key kCommon(1);
-const part_key kDeadly(2);
+const cause_key kCommon(1);
+const cause_key kDeadly(2);
 
 /// The crash of server `aServer` under a request with these parts.
-crash_record Crash(std::uint64_t aServer, time_point aAt, std::vector<part_key> aParts,
+crash_record Crash(std::uint64_t aServer, time_point aAt, std::vector<cause_key> aParts,
                    run_stage aStage = run_stage::JustBegun)
 {
   static std::uint64_t sLastId = 0;
@@ -28,7 +28,7 @@
 }
 
 /// Looks for suspects now and once other instances have had time to answer.
-std::optional<part_key> QuarantineInTime(crash_board& aBoard, time_point aNow)
+std::optional<cause_key> QuarantineInTime(crash_board& aBoard, time_point aNow)
 {
   CHECK_FALSE(QuarantineWorstSuspect(aBoard, aNow));
   return QuarantineWorstSuspect(aBoard, aNow + aBoard.mOptions.mQuestionTime);
@@ -54,11 +54,11 @@
     RecordCrash(board, Crash(i, kStart + i * 1s, { kCommon, kDeadly }));
   }
   // Requests that were streaming on the same servers broke with them.
-  RecordCrash(board, Crash(0, kStart, { kCommon, part_key(3) }, run_stage::Streaming));
-  RecordCrash(board, Crash(1, kStart + 1s, { kCommon, part_key(4) }, run_stage::Waiting));
+  RecordCrash(board, Crash(0, kStart, { kCommon, cause_key(3) }, run_stage::Streaming));
+  RecordCrash(board, Crash(1, kStart + 1s, { kCommon, cause_key(4) }, run_stage::Waiting));
   CHECK(QuarantineInTime(board, kStart + 2s) == kDeadly);
   CHECK(IsQuarantined(board, { kCommon, kDeadly }, kStart + 3s));
-  CHECK_FALSE(IsQuarantined(board, { kCommon, part_key(3) }, kStart + 3s));
+  CHECK_FALSE(IsQuarantined(board, { kCommon, cause_key(3) }, kStart + 3s));
 }
 
 TEST_CASE("servers that crash at the same moment, as in a power cut, do not convict a part")
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -27,9 +27,9 @@
   return aNow - std::chrono::milliseconds(std::max<std::int64_t>(0, aAge.get<std::int64_t>()));
 }
 
-part_key KeyOf(const json& aValue)
+cause_key KeyOf(const json& aValue)
 {
-  return part_key(aValue.get<std::uint64_t>());
+  return cause_key(aValue.get<std::uint64_t>());
 }
 
 run_stage StageOf(int aValue)
@@ -53,7 +53,7 @@
                                          time_point aNow)
 {
   crash_message message;
-  const auto addAnswer = [&](part_key aPart, time_point aSince) {
+  const auto addAnswer = [&](cause_key aPart, time_point aSince) {
     if (const auto found = aBoard.mAnswered.find(aPart); found != aBoard.mAnswered.end() &&
                                                          found->second >= aSince &&
                                                          message.mAnswered.size() < kMaxItems) {
@@ -88,19 +88,19 @@
   return message;
 }
 
-std::vector<part_key> ApplyMessage(crash_board& aBoard, const crash_message& aMessage,
+std::vector<cause_key> ApplyMessage(crash_board& aBoard, const crash_message& aMessage,
                                    time_point aNow)
 {
   for (const crash_record& crash : aMessage.mCrashes) {
     RecordCrash(aBoard, crash);
   }
-  for (const part_key part : aMessage.mWatched) {
+  for (const cause_key part : aMessage.mWatched) {
     aBoard.mWatched[part] = aNow + kWatchFor;
   }
   for (const auto& [part, answered] : aMessage.mAnswered) {
     RecordAnswer(aBoard, { part }, answered);
   }
-  std::vector<part_key> quarantined;
+  std::vector<cause_key> quarantined;
   for (const auto& [part, entry] : aMessage.mQuarantined) {
     const auto known = aBoard.mQuarantined.find(part);
     if (known != aBoard.mQuarantined.end() && known->second.mTerm >= entry.mTerm) {
@@ -119,14 +119,14 @@
   json crashes = json::array();
   for (const crash_record& crash : aMessage.mCrashes) {
     json parts = json::array();
-    for (const part_key part : crash.mParts) {
+    for (const cause_key part : crash.mParts) {
       parts.push_back(part.Value());
     }
     crashes.push_back({ crash.mId, crash.mServer, static_cast<int>(crash.mStage),
                         AgeMs(crash.mAt, aNow), std::move(parts) });
   }
   json watched = json::array();
-  for (const part_key part : aMessage.mWatched) {
+  for (const cause_key part : aMessage.mWatched) {
     watched.push_back(part.Value());
   }
   json answered = json::array();
--- a/src/quarantine/crash_message.h
+++ b/src/quarantine/crash_message.h
@@ -14,9 +14,9 @@
 struct crash_message
 {
   std::vector<crash_record> mCrashes; ///< seen by the sender; by the receiver's clock once decoded
-  std::vector<part_key> mWatched;     ///< parts whose answers the sender wants to know
-  std::map<part_key, time_point> mAnswered;
-  std::map<part_key, quarantined_part> mQuarantined;
+  std::vector<cause_key> mWatched;     ///< parts whose answers the sender wants to know
+  std::map<cause_key, time_point> mAnswered;
+  std::map<cause_key, quarantine_entry> mQuarantined;
 };
 
 /// The message to the other instances; absent if it would be empty.
@@ -25,7 +25,7 @@
                                          time_point aNow);
 
 /// Merges a message of another instance. Returns the parts whose quarantine is new here.
-std::vector<part_key> ApplyMessage(crash_board& aBoard, const crash_message& aMessage,
+std::vector<cause_key> ApplyMessage(crash_board& aBoard, const crash_message& aMessage,
                                    time_point aNow);
 
 /// Encodes as MessagePack. The result is an object, which tells it from a load message.
