Keep the copies of an origin that has not sent gossip yet

The new test, a copy before the first gossip on a paused clock, fails before the change (the copy is written within 100 s). Until the first gossip the time of the last copy counts.

--- a/src/control/accounting.cpp
+++ b/src/control/accounting.cpp
@@ -97,9 +97,13 @@
   std::vector<billing::origin_id> gone;
   for (const auto& [origin, copies] : aState.mBilling.mHeldCopies) {
     const auto member = aState.mMembership.mMembers.find(origin.mInstance);
+    const bool isKnown = member != aState.mMembership.mMembers.end();
+    // Of an instance that has just started, the copies may arrive before its first gossip.
+    const time_point heard = isKnown && member->second.mLastMessageAt != time_point{}
+                               ? member->second.mLastMessageAt
+                               : copies.mLastHeardAt;
     const bool isGone =
-      member == aState.mMembership.mMembers.end() || member->second.mLeft ||
-      aNow - member->second.mLastMessageAt > kSilentOrigin ||
+      !isKnown || member->second.mLeft || aNow - heard > kSilentOrigin ||
       (member->second.mEpoch != start_epoch(0) && member->second.mEpoch != origin.mEpoch);
     if (isGone && !copies.mOriginRemoved) {
       gone.push_back(origin);
--- a/src/control/control_test.cpp
+++ b/src/control/control_test.cpp
@@ -316,6 +316,44 @@
   CHECK(tested.mObjects[0].mKey.find("copy-") != std::string::npos);
 }
 
+// Guards against an origin that is taken for silent because its first copy arrives before its first
+// gossip, so that its records are settled by their holder while it lives.
+TEST_CASE("copies of an origin that has not sent gossip yet are kept for it")
+{
+  platform::memory_table table;
+  instance tested(table);
+  tested.mNow = time_point(1h);
+  MakeReady(tested, false);
+  control::OnInstanceList(tested.mState,
+                          { { .mId = "k-2",
+                              .mRole = membership::role::Entry,
+                              .mAddress = "127.0.0.1:8",
+                              .mPeerAddress = "127.0.0.1:9",
+                              .mDataCentre = data_centre_id("b"),
+                              .mLeaving = false,
+                              .mEpoch = {} } },
+                          tested.mNow);
+  const billing::origin_id origin{ instance_id("k-2"), start_epoch(5) };
+  const billing::record record{ .mId = request_id("r"),
+                                .mOwner = owner_id("k"),
+                                .mAccount = account_id("depot"),
+                                .mStages = {},
+                                .mTrace = "",
+                                .mOrigin = origin,
+                                .mSequence = billing::sequence_number(1) };
+  control::effects effects;
+  control::OnPeerMessage(
+    tested.mState,
+    { origin.mInstance,
+      origin.mEpoch,
+      "127.0.0.1:9",
+      { billing::copy_batch{ origin, billing::operation_id(1), {}, { record } } } },
+    tested.mNow, effects);
+  tested.Perform(std::move(effects));
+  tested.Run(100s, 50ms);
+  CHECK(tested.mObjects.empty());
+}
+
 // Guards against an instance that queues requests for minutes after its start while its servers are
 // free.
 TEST_CASE("the concurrency limit starts from the reported capacity of the servers")
