Refuse requests whose body has no certain end

A request with a Transfer-Encoding other than one "chunked" now gets 400 and a closed connection (RFC 9112, section 6.3), and an answer with one is broken. "gzip, chunked" and a double "chunked", which were decoded once and passed on with a length, are among them.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/exchange.h"
 
+#include "net/framing.h"
+
 #include <array>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
@@ -125,7 +127,8 @@
     }
     if (mParser->is_header_done()) {
       if (mParser->get().result_int() >= 200) {
-        co_return error_code{};
+        co_return HasKnownEnd(mParser->get().base()) ? error_code{}
+                                                     : http::error::bad_transfer_encoding;
       }
       StartParser();
       continue;
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -43,7 +43,8 @@
   void Send(std::shared_ptr<const outbound_request> aRequest);
 
   /// Reads the start line and the header of the answer; interim answers (1xx) are skipped. After
-  /// `timed_out` the exchange is as before, and the call may be repeated to wait on.
+  /// `timed_out` the exchange is as before, and the call may be repeated to wait on. Returns
+  /// `bad_transfer_encoding` for a body in a coding other than `chunked`.
   task<error_code> ReadHeader(duration aLimit);
 
   /// Appends what arrives next of the body to `aOut`. Returns without an error and with
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "net/framing.h"
 #include "observe/event_log.h"
 
 #include <algorithm>
@@ -311,7 +312,8 @@
   // Copied before the body is read, so that trailers do not become headers.
   request->mHeader = parser.get().base();
   const bool keepAlive = parser.get().keep_alive();
-  if (parser.get().version() != 11 || request->mHeader.count(http::field::host) != 1) {
+  if (parser.get().version() != 11 || request->mHeader.count(http::field::host) != 1 ||
+      !HasKnownEnd(request->mHeader)) {
     co_await Refuse(connection, protocol_refusal::BadRequest);
     co_return false;
   }
