Learn the prefill time of each model from first events

What callers saw: a prompt waited behind others, or moved away from a server with its prefix in the cache, by a cost that nobody had measured. Cause: PrefillCostOf in gateway/call.cpp took the engine time of a prompt token from the place of the model in the route's list (0.3 to 3), and choice_options had the engines' speed from today's data sheet. Servers, choice and load messages count the work that waits in milliseconds instead of tokens. A message of an earlier release has no unit; its requests count and its tokens do not.

--- a/src/backends/fleet.cpp
+++ b/src/backends/fleet.cpp
@@ -202,10 +202,10 @@
          (aNow <= aServer.mRemoteLoad.mExpiresAt ? aServer.mRemoteLoad.mRequests : 0);
 }
 
-double PrefillTokensAt(const backend_server& aServer, time_point aNow)
+double PrefillMsAt(const backend_server& aServer, time_point aNow)
 {
-  return aServer.mPrefillTokens +
-         (aNow <= aServer.mRemoteLoad.mExpiresAt ? aServer.mRemoteLoad.mPrefillTokens : 0);
+  return aServer.mPrefillMs +
+         (aNow <= aServer.mRemoteLoad.mExpiresAt ? aServer.mRemoteLoad.mPrefillMs : 0);
 }
 
 bool AcquireColdSlot(backend_server& aServer, const cold_share& aShare, time_point aNow)
--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -61,7 +61,7 @@
 /// Load of other instances at a server, as last reported.
 struct remote_load
 {
-  double mPrefillTokens = 0;
+  double mPrefillMs = 0;
   int mRequests = 0;
   time_point mExpiresAt{}; ///< then the report is ignored
 };
@@ -77,8 +77,9 @@
   bool mSaysItLeaves = false; ///< an answer announced a shutdown; only a restart clears it
   time_point mClosedUntil{};  ///< until then it wants no request from this instance
 
-  int mInFlight = 0;         ///< requests of this instance in flight
-  double mPrefillTokens = 0; ///< prompt tokens of this instance's requests without a first event
+  int mInFlight = 0; ///< requests of this instance in flight
+  /// Expected time to prefill the prompts of this instance's requests without a first event.
+  double mPrefillMs = 0;
   remote_load mRemoteLoad;
   std::vector<const pending_answer*> mPending; ///< owned by the attempts
   time_point mSuspectUntil{};                  ///< until then chosen only without alternatives
@@ -150,8 +151,9 @@
 /// Requests in flight at the server, over all instances as far as known.
 int RequestsAt(const backend_server& aServer, time_point aNow);
 
-/// Prompt tokens that the server has yet to prefill, over all instances as far as known.
-double PrefillTokensAt(const backend_server& aServer, time_point aNow);
+/// Expected time in ms to prefill the prompts that wait at the server, of all instances as far as
+/// known.
+double PrefillMsAt(const backend_server& aServer, time_point aNow);
 
 /// Share of recent attempts that failed, from 0 to 1.
 double FailureShare(const backend_server& aServer, time_point aNow);
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -24,20 +24,6 @@
   return static_cast<double>(aHash >> 11U) * 0x1.0p-53;
 }
 
-/// Engine time to prefill a token, relative to a model of ordinary size. The models of a route
-/// range from a third of it to three times as much, as in the engines' data sheet.
-double PrefillCostOf(const call& aCall)
-{
-  constexpr double kSmallestCost = 0.3;
-  constexpr double kLargestCost = 3;
-  const std::size_t sizes = aCall.mRoute->mModels.size();
-  if (sizes < 2) {
-    return 1;
-  }
-  const double position = static_cast<double>(aCall.mModelIndex) / static_cast<double>(sizes - 1);
-  return kSmallestCost + position * (kLargestCost - kSmallestCost);
-}
-
 const char* NameOf(attempt_result aResult)
 {
   switch (aResult) {
@@ -104,17 +90,27 @@
   }
 }
 
+/// The model that the call runs on, as the gateway or the caller chose it.
+model_id ModelOf(const call& aCall)
+{
+  return !aCall.mRoute->mModels.empty() && aCall.mHeader.mAnyModel
+           ? aCall.mRoute->mModels[aCall.mModelIndex]
+           : model_id(aCall.mHeader.mModel);
+}
+
 } // namespace
 
-attempt::attempt(backends::server_pointer aServer, double aPrefillTokens, bool aIsNewVersion,
+attempt::attempt(const placement::choice& aChoice, bool aIsNewVersion,
                  const backends::pending_answer& aPending)
-  : mServer(std::move(aServer))
-  , mPrefillTokens(aPrefillTokens)
+  : mServer(aChoice.mServer)
+  , mPrefillTokens(aChoice.mPrefillTokens)
+  , mPrefillMs(aChoice.mPrefillMs)
+  , mIsUnobstructed(aChoice.mIsUnobstructed)
   , mIsNewVersion(aIsNewVersion)
   , mPending(aPending)
 {
   ++mServer->mInFlight;
-  mServer->mPrefillTokens += mPrefillTokens;
+  mServer->mPrefillMs += mPrefillMs;
   mServer->mPending.push_back(&mPending);
 }
 
@@ -126,8 +122,8 @@
 
 void attempt::MarkPrefillDone()
 {
-  mServer->mPrefillTokens -= mPrefillTokens;
-  mPrefillTokens = 0;
+  mServer->mPrefillMs -= mPrefillMs;
+  mPrefillMs = 0;
   std::erase(mServer->mPending, &mPending);
 }
 
@@ -160,6 +156,13 @@
   co_return !failure;
 }
 
+placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall)
+{
+  const auto speed = aState.mEngineSpeeds.find({ aCall.mService, ModelOf(aCall) });
+  return placement::PrefillTimeOf(speed == aState.mEngineSpeeds.end() ? placement::engine_speed{}
+                                                                      : speed->second);
+}
+
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall)
 {
   std::string key = aCall.mRoute->mName;
@@ -214,7 +217,7 @@
   placement::demand demand;
   demand.mService = aCall.mService;
   demand.mParts = aCall.mHeader.mParts;
-  demand.mPrefillCost = PrefillCostOf(aCall);
+  demand.mPrefill = PrefillTimeOf(aState, aCall);
   demand.mDataCentre = aState.mSelf.mDataCentre;
   demand.mTriedServers = &aCall.mTriedServers;
   demand.mUnreached = &aCall.mUnreached;
@@ -243,7 +246,7 @@
   const backends::announcement announced = choice.mServer->mAnnounced;
   const bool isNewVersion = shift != nullptr && announced.mVersion == shift->mOrder.mNewVersion;
   outcome.mAttempt = std::make_unique<attempt>(
-    choice.mServer, static_cast<double>(choice.mPrefillTokens) * demand.mPrefillCost, isNewVersion,
+    choice, isNewVersion,
     backends::pending_answer{ .mSent = now, .mExpected = HistoryOf(aState, aCall).mExpected });
   outcome.mExchange = std::make_shared<net::exchange>(aCall.mCaller->Executor());
   outcome.mBodyClaim = net::byte_claim(aState.mAnswerBudget);
@@ -380,6 +383,11 @@
     RecordShiftResult(aState, aCall, aOutcome, aTime);
     if (isSuccess && !aOutcome.mAttempt->IsNewVersion()) {
       RecordLatency(latency, aTime);
+      if (aCall.mRoute->mKind == routing::call_kind::Stream && !aCall.mHeader.mParts.empty() &&
+          aOutcome.mAttempt->IsUnobstructed()) {
+        placement::RecordFirstEvent(aState.mEngineSpeeds[{ aCall.mService, ModelOf(aCall) }],
+                                    aOutcome.mAttempt->PrefillTokens(), aTime);
+      }
     }
   }
   aState.mMetrics.Count("tamarackweir_attempts_total", { { "result", NameOf(aOutcome.mResult) } });
@@ -398,6 +406,8 @@
     .Millis("ms", aTime)
     .Number("candidates", static_cast<std::int64_t>(aOutcome.mCandidateCount))
     .Real("cost_ms", aOutcome.mCostMs)
+    .Number("prefill_tokens", aOutcome.mAttempt->PrefillTokens())
+    .Real("ms_per_token", PrefillTimeOf(aState, aCall).mMsPerToken)
     .Real("failure_share", backends::FailureShare(server, now))
     .Number("in_flight", server.mInFlight)
     .Number("config", static_cast<std::int64_t>(aCall.mRoutes->mVersion))
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -47,7 +47,7 @@
 {
 public:
   /// \param aPending send time, and the expected time to the answer or first event
-  attempt(backends::server_pointer aServer, double aPrefillTokens, bool aIsNewVersion,
+  attempt(const placement::choice& aChoice, bool aIsNewVersion,
           const backends::pending_answer& aPending);
   ~attempt();
   attempt(const attempt&) = delete;
@@ -62,10 +62,16 @@
   time_point Started() const { return mPending.mSent; }
   /// Whether the server runs the version that a shift moves traffic to.
   bool IsNewVersion() const { return mIsNewVersion; }
+  /// Prompt tokens that the server was expected to prefill.
+  std::int64_t PrefillTokens() const { return mPrefillTokens; }
+  /// Whether no other prompt waited at the server, as far as known.
+  bool IsUnobstructed() const { return mIsUnobstructed; }
 
 private:
   backends::server_pointer mServer;
-  double mPrefillTokens;
+  std::int64_t mPrefillTokens;
+  double mPrefillMs; ///< counted at the server; 0 once the prompt is processed
+  bool mIsUnobstructed;
   bool mIsNewVersion;
   backends::pending_answer mPending;
 };
@@ -125,6 +131,9 @@
 /// Forwards a request whose answer is a stream of events.
 net::task<> ForwardStream(gateway_state& aState, call& aCall);
 
+/// Prefill time of the call's model on the engines of its service.
+placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall);
+
 /// Estimated latency of the call's route and model.
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall);
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -99,6 +99,7 @@
   placement::prefix_caches mPrefixCaches;
   std::unordered_map<service_id, overload::retry_budget> mBudgets;
   std::unordered_map<std::string, latency_estimate> mLatencies; ///< by route and model
+  std::map<std::pair<service_id, model_id>, placement::engine_speed> mEngineSpeeds;
   /// Of the old version: time between a stream's events, by service and model; time of a plain
   /// answer, by route.
   std::unordered_map<std::string, median_estimate> mPaces;
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -64,6 +64,12 @@
   std::uint64_t mServerHash = 0;
 };
 
+/// Engine time that the prompt's prefill takes at the server.
+double PrefillWorkMs(const demand& aDemand, const scored_server& aCandidate)
+{
+  return static_cast<double>(aCandidate.mPrefillTokens) * aDemand.mPrefill.mMsPerToken;
+}
+
 constexpr std::size_t kMaxHolders = 3; ///< servers that may cache a part in high demand
 
 /// A candidate and its rendezvous weight for the shared parts.
@@ -100,7 +106,7 @@
   if (aDemand.mParts.empty()) {
     wait *= aOptions.mPlainCallFactor;
   } else {
-    wait += backends::PrefillTokensAt(aServer, aNow) / aOptions.mPrefillTokensPerMs;
+    wait += backends::PrefillMsAt(aServer, aNow);
   }
   wait += std::chrono::duration<double, std::milli>(backends::DelayOf(aServer, aNow)).count();
   wait += std::max(0.0, backends::FailureShare(aServer, aNow) - aOptions.mToleratedFailures) *
@@ -194,8 +200,7 @@
     if (!aDemand.mParts.empty()) {
       candidate.mPrefillTokens =
         TokensToPrefill(aDemand, candidate.mServerHash, isHolder(i), aCaches, aOptions, aNow);
-      candidate.mCostMs += static_cast<double>(candidate.mPrefillTokens) * aDemand.mPrefillCost *
-                           aOptions.mPrefillWeight / aOptions.mPrefillTokensPerMs;
+      candidate.mCostMs += PrefillWorkMs(aDemand, candidate) * aOptions.mPrefillWeight;
     }
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -212,6 +217,8 @@
     result.mServer = candidate.mServer;
     result.mCostMs = candidate.mCostMs;
     result.mPrefillTokens = candidate.mPrefillTokens;
+    result.mPrefillMs = PrefillWorkMs(aDemand, candidate);
+    result.mIsUnobstructed = backends::PrefillMsAt(*candidate.mServer, aNow) <= 0;
     return result;
   }
   result.mReason = no_choice::ColdOnly;
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backends/fleet.h"
+#include "placement/engine_speed.h"
 
 #include <functional>
 #include <optional>
@@ -23,9 +24,9 @@
   service_id mService;
   std::uint64_t mModelHash = 0; ///< cached parts are valid for the same model only
   std::vector<prompt_part> mParts;
-  double mPrefillCost = 1;    ///< time to prefill a token, relative to a model of ordinary size
-  data_centre_id mDataCentre; ///< of this instance
-  const std::vector<server_id>* mTriedServers = nullptr;   ///< servers already tried
+  prefill_time mPrefill;                                 ///< of the model on the service's engines
+  data_centre_id mDataCentre;                            ///< of this instance
+  const std::vector<server_id>* mTriedServers = nullptr; ///< servers already tried
   const std::vector<data_centre_id>* mUnreached = nullptr; ///< once per failed connect
   /// Whether the request may use the server, by version, evacuation and region.
   std::function<bool(const backends::backend_server&)> mIsAllowed;
@@ -44,7 +45,6 @@
 /// Weights of the choice.
 struct choice_options
 {
-  double mPrefillTokensPerMs = 32; ///< prefill speed of an engine, from the engines' data sheet
   /// Weight of the request's own prefill against the server's queue. Processing a cached part again
   /// delays all later requests, so the queue mostly decides between servers with equal prefill.
   double mPrefillWeight = 40;
@@ -79,6 +79,8 @@
   std::size_t mCandidateCount = 0;
   double mCostMs = 0;
   std::int64_t mPrefillTokens = 0; ///< of the prompt, expected not to be cached
+  double mPrefillMs = 0;           ///< expected time to prefill them
+  bool mIsUnobstructed = false;    ///< no other prompt waits at the server, as far as known
 };
 
 /// Picks the server with the least expected delay, from the tokens it has to prefill, its queue and
--- a/src/placement/load_board.cpp
+++ b/src/placement/load_board.cpp
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+constexpr const char* kUnit = "ms"; ///< of the prefill work in a message
+
 /// 32 bits, as messages list many servers; two of a thousand collide in one of 10,000 fleets.
 std::uint64_t KeyOf(const server_id& aServer)
 {
@@ -24,7 +26,7 @@
 {
   for (const auto& [server, load] : aLoads) {
     server_load& sum = aTo[server];
-    sum.mPrefillTokens += load.mPrefillTokens;
+    sum.mPrefillMs += load.mPrefillMs;
     sum.mRequests += load.mRequests;
   }
 }
@@ -34,8 +36,8 @@
   load_report loads;
   for (const auto& [id, server] : aFleet.mServers) {
     if (server->mInFlight > 0) {
-      loads[KeyOf(id)] = { .mPrefillTokens =
-                             static_cast<std::uint32_t>(std::max(0.0, server->mPrefillTokens)),
+      loads[KeyOf(id)] = { .mPrefillMs =
+                             static_cast<std::uint32_t>(std::max(0.0, server->mPrefillMs)),
                            .mRequests = static_cast<std::uint32_t>(server->mInFlight) };
     }
   }
@@ -66,7 +68,7 @@
   for (const auto& [id, server] : aFleet.mServers) {
     const auto load = aTotals.find(KeyOf(id));
     const server_load others = load == aTotals.end() ? server_load{} : load->second;
-    server->mRemoteLoad = { .mPrefillTokens = static_cast<double>(others.mPrefillTokens),
+    server->mRemoteLoad = { .mPrefillMs = static_cast<double>(others.mPrefillMs),
                             .mRequests = static_cast<int>(others.mRequests),
                             .mExpiresAt = aNow + kLoadLifetime };
   }
@@ -77,11 +79,11 @@
   json loads = json::array();
   for (const auto& [server, load] : aMessage.mLoads) {
     loads.push_back(server);
-    loads.push_back(load.mPrefillTokens);
+    loads.push_back(load.mPrefillMs);
     loads.push_back(load.mRequests);
   }
   const auto bytes = json::to_msgpack(json::array(
-    { aMessage.mInstance, aMessage.mIsTotals, aMessage.mAsksForTotals, std::move(loads) }));
+    { aMessage.mInstance, aMessage.mIsTotals, aMessage.mAsksForTotals, std::move(loads), kUnit }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -94,11 +96,13 @@
                          .mIsTotals = message.at(1).get<bool>(),
                          .mAsksForTotals = message.at(2).get<bool>() };
     const json& loads = message.at(3);
+    // Earlier releases send tokens, without a unit; how long those take here is not known.
+    const bool isTime = message.size() > 4 && message.at(4) == kUnit;
     for (std::size_t i = 0; i < loads.size(); i += kFieldsPerServer) {
-      result.mLoads[loads.at(i).get<std::uint64_t>()] = { .mPrefillTokens =
-                                                            loads.at(i + 1).get<std::uint32_t>(),
-                                                          .mRequests =
-                                                            loads.at(i + 2).get<std::uint32_t>() };
+      result.mLoads[loads.at(i).get<std::uint64_t>()] = {
+        .mPrefillMs = isTime ? loads.at(i + 1).get<std::uint32_t>() : 0,
+        .mRequests = loads.at(i + 2).get<std::uint32_t>()
+      };
     }
     return result;
   } catch (const json::exception& failure) {
--- a/src/placement/load_board.h
+++ b/src/placement/load_board.h
@@ -12,7 +12,7 @@
 /// Load of one or more instances at one backend server.
 struct server_load
 {
-  std::uint32_t mPrefillTokens = 0; ///< of prompts without a first event, for an ordinary model
+  std::uint32_t mPrefillMs = 0; ///< expected time to prefill the prompts without a first event
   std::uint32_t mRequests = 0;
 
   bool operator==(const server_load&) const = default;
--- a/src/placement/load_board_test.cpp
+++ b/src/placement/load_board_test.cpp
@@ -16,12 +16,12 @@
 TEST_CASE("the totals are the sums over the other instances' latest reports")
 {
   load_board board;
-  RecordReport(board, "a", { { 1, { .mPrefillTokens = 10, .mRequests = 1 } } }, kStart);
-  RecordReport(board, "b", { { 1, { .mPrefillTokens = 5, .mRequests = 2 } } }, kStart);
-  RecordReport(board, "b", { { 1, { .mPrefillTokens = 7, .mRequests = 3 } } }, kStart);
-  RecordReport(board, "c", { { 2, { .mPrefillTokens = 1, .mRequests = 1 } } }, kStart);
+  RecordReport(board, "a", { { 1, { .mPrefillMs = 10, .mRequests = 1 } } }, kStart);
+  RecordReport(board, "b", { { 1, { .mPrefillMs = 5, .mRequests = 2 } } }, kStart);
+  RecordReport(board, "b", { { 1, { .mPrefillMs = 7, .mRequests = 3 } } }, kStart);
+  RecordReport(board, "c", { { 2, { .mPrefillMs = 1, .mRequests = 1 } } }, kStart);
   const load_report totals = Totals(board, "c", kStart);
-  CHECK(totals == load_report{ { 1, server_load{ .mPrefillTokens = 17, .mRequests = 4 } } });
+  CHECK(totals == load_report{ { 1, server_load{ .mPrefillMs = 17, .mRequests = 4 } } });
 }
 
 TEST_CASE("a report expires after its lifetime")
@@ -38,7 +38,7 @@
   const load_message sent{ .mInstance = "a",
                            .mIsTotals = true,
                            .mLoads = {
-                             { 0xffffffffU, { .mPrefillTokens = 90'000, .mRequests = 200 } } } };
+                             { 0xffffffffU, { .mPrefillMs = 90'000, .mRequests = 200 } } } };
   const std::string bytes = Encode(sent);
   const load_message read = DecodeLoads(bytes);
   CHECK(read.mInstance == "a");
@@ -55,11 +55,11 @@
   backends::Announce(fleet, { .mId = server_id("s"), .mService = service_id("llm") }, kStart);
   backends::backend_server& server = *fleet.mServers.begin()->second;
   server.mInFlight = 2;
-  server.mPrefillTokens = 30;
+  server.mPrefillMs = 30;
   const load_report own = OwnLoads(fleet);
   ApplyTotals(fleet, own, kStart);
   CHECK(backends::RequestsAt(server, kStart) == 4);
-  CHECK(backends::PrefillTokensAt(server, kStart) == doctest::Approx(60));
+  CHECK(backends::PrefillMsAt(server, kStart) == doctest::Approx(60));
   CHECK(backends::RequestsAt(server, kStart + kLoadLifetime + 1ms) == 2);
   ApplyTotals(fleet, {}, kStart);
   CHECK(backends::RequestsAt(server, kStart) == 2);
--- a/src/placement/shared_load_test.cpp
+++ b/src/placement/shared_load_test.cpp
@@ -77,7 +77,7 @@
           return false;
         }
         auto& seen = *fleets[aRead.second.first].mServers.at(server);
-        seen.mPrefillTokens -= aRead.second.second;
+        seen.mPrefillMs -= aRead.second.second;
         --seen.mInFlight;
         return true;
       });
@@ -98,6 +98,7 @@
     demand.mDataCentre = data_centre_id("a");
     demand.mIsAllowed = [](const auto&) { return true; };
     demand.mAcquireColdSlot = [](auto&) { return true; };
+    demand.mPrefill = { .mBaseMs = 0, .mMsPerToken = 1 / kTokensPerMs };
     demand.mParts = { { .mId = subject, .mTokens = kPrefixTokens },
                       { .mId = random(), .mTokens = kOwnTokens } };
     const choice choice = Choose(fleets[instance], demand, caches[instance], options, random, now);
@@ -120,10 +121,9 @@
     engine.mFreeAt = std::max(engine.mFreeAt, now) +
                      std::chrono::duration_cast<duration>(
                        std::chrono::duration<double, std::milli>(tokens / kTokensPerMs));
-    const auto prefillTokens = static_cast<double>(choice.mPrefillTokens);
-    choice.mServer->mPrefillTokens += prefillTokens;
+    choice.mServer->mPrefillMs += choice.mPrefillMs;
     ++choice.mServer->mInFlight;
-    engine.mPrefilling.push_back({ engine.mFreeAt, { instance, prefillTokens } });
+    engine.mPrefilling.push_back({ engine.mFreeAt, { instance, choice.mPrefillMs } });
     ++total;
     late += engine.mFreeAt - now > kTargetLatency ? 1 : 0;
   }
