Measure how busy engines are by their usual time, not by targets

What callers saw: with idle engines, an answer that its model doubted was delivered though a better one could be had, if the route's target latency is short against the engines' usual time; with busy engines and a long target, large models ran while others waited. Cause: forward_stream.cpp took the first event's time as a part of the route's target latency (idle at 0.08, full at 0.3 of it). A target says what a caller wants, not how long an idle engine takes. Change: the load is the busy share 1 - idle time / time seen, from the learned prefill times, for all models; the threshold falls from 50 to 0 with it, since each further run takes engine time from those who wait.

--- a/src/cascade/confidence.cpp
+++ b/src/cascade/confidence.cpp
@@ -11,9 +11,7 @@
     return std::nullopt;
   }
   const double load = std::clamp(aStep.mLoad, 0.0, 1.0);
-  const double threshold = aOptions.mAcceptThreshold +
-                           load * (aOptions.mAcceptThresholdUnderLoad - aOptions.mAcceptThreshold);
-  if (*aStep.mConfidence >= threshold) {
+  if (*aStep.mConfidence >= aOptions.mAcceptThreshold * (1 - load)) {
     return std::nullopt;
   }
   return aStep.mModelCount - 1;
--- a/src/cascade/confidence_test.cpp
+++ b/src/cascade/confidence_test.cpp
@@ -51,3 +51,11 @@
   }
   CHECK(loadedEscalations < idleEscalations);
 }
+
+TEST_CASE("an answer is replaced only while the engines have time left")
+{
+  const confidence_options options;
+  CHECK(NextModel(MakeStep(24, 0.5), options).has_value());
+  CHECK_FALSE(NextModel(MakeStep(25, 0.5), options).has_value());
+  CHECK_FALSE(NextModel(MakeStep(0, 1), options).has_value());
+}
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -98,6 +98,24 @@
            : model_id(aCall.mHeader.mModel);
 }
 
+/// Records the time to the first event, which also shows how busy the engines are.
+void RecordPrefillTime(gateway_state& aState, const call& aCall, const attempt& aAttempt,
+                       duration aTime)
+{
+  if (aCall.mRoute->mKind != routing::call_kind::Stream || aCall.mHeader.mParts.empty()) {
+    return;
+  }
+  placement::engine_speed& speed = aState.mEngineSpeeds[{ aCall.mService, ModelOf(aCall) }];
+  if (placement::IsKnown(speed)) {
+    placement::RecordLoad(
+      aState.mEngineLoads[aCall.mService],
+      placement::PrefillMs(placement::PrefillTimeOf(speed), aAttempt.PrefillTokens()), aTime);
+  }
+  if (aAttempt.IsUnobstructed()) {
+    placement::RecordFirstEvent(speed, aAttempt.PrefillTokens(), aTime);
+  }
+}
+
 } // namespace
 
 attempt::attempt(const placement::choice& aChoice, bool aIsNewVersion,
@@ -383,11 +401,7 @@
     RecordShiftResult(aState, aCall, aOutcome, aTime);
     if (isSuccess && !aOutcome.mAttempt->IsNewVersion()) {
       RecordLatency(latency, aTime);
-      if (aCall.mRoute->mKind == routing::call_kind::Stream && !aCall.mHeader.mParts.empty() &&
-          aOutcome.mAttempt->IsUnobstructed()) {
-        placement::RecordFirstEvent(aState.mEngineSpeeds[{ aCall.mService, ModelOf(aCall) }],
-                                    aOutcome.mAttempt->PrefillTokens(), aTime);
-      }
+      RecordPrefillTime(aState, aCall, *aOutcome.mAttempt, aTime);
     }
   }
   aState.mMetrics.Count("tamarackweir_attempts_total", { { "result", NameOf(aOutcome.mResult) } });
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -11,32 +11,12 @@
 
 namespace {
 
-/// Weight of a new sample of the engine load.
-constexpr double kLoadSmoothing = 0.2;
-/// Part of the target latency that the smallest model's first event takes when engines are idle,
-/// and when they are so busy that using a large model for one request makes others late.
-constexpr double kIdlePart = 0.08;
-constexpr double kFullPart = 0.3;
-
 /// A pause of this multiple of the route's target gap makes the stream fail over to another server.
 /// A shorter one is as likely due to a busy engine, and another would first prefill the prompt.
 constexpr double kGapFactor = 1.5;
 constexpr duration kProbeGap = 700ms; ///< a pause after which the server's reachability is checked
 constexpr duration kDefaultGap = 5s;  ///< for routes without a target gap
 
-void RecordLoad(gateway_state& aState, const call& aCall, duration aTime)
-{
-  if (aCall.mModelIndex > 0) {
-    return;
-  }
-  const double part =
-    std::chrono::duration<double>(aTime).count() /
-    std::max(1e-3, std::chrono::duration<double>(aCall.mRoute->mTargetLatency).count());
-  const double sample = std::clamp((part - kIdlePart) / (kFullPart - kIdlePart), 0.0, 1.0);
-  double& load = aState.mEngineLoad[aCall.mService];
-  load += kLoadSmoothing * (sample - load);
-}
-
 /// Progress of delivering a stream to the caller.
 struct delivery
 {
@@ -164,7 +144,6 @@
     if (isFirst) {
       isFirst = false;
       aOutcome.mAttempt->MarkPrefillDone();
-      RecordLoad(aState, aCall, net::Now() - aOutcome.mAttempt->Started());
     }
     if (const auto perEvent = PaceAfter(pace, completeEvents.mCount, exchange.IsComplete())) {
       RecordStreamPace(aState, aCall, *aOutcome.mAttempt, *perEvent);
@@ -184,26 +163,31 @@
   co_return events.mIncompleteEvent.empty() ? run_end::Complete : run_end::Broken;
 }
 
-/// The larger model to run instead of delivering this answer; charges the retry budget.
-std::optional<std::size_t> Escalation(gateway_state& aState, const call& aCall,
-                                      const attempt_outcome& aOutcome, const delivery& aDelivery)
+/// Moves the call to a larger model if that one is to run instead of delivering this answer; charges
+/// the retry budget.
+bool Escalates(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome,
+               const delivery& aDelivery)
 {
   if (aDelivery.mStarted || aCall.mRoute->mModels.empty() || !aCall.mHeader.mAnyModel) {
-    return std::nullopt;
+    return false;
   }
   const attempt_history history = HistoryOf(aState, aCall);
   const cascade::confidence_step step{
     .mModelIndex = aCall.mModelIndex,
     .mModelCount = aCall.mRoute->mModels.size(),
     .mConfidence = aOutcome.mHeader.mConfidence,
-    .mLoad = aState.mEngineLoad[aCall.mService],
+    .mLoad = aState.mEngineLoads[aCall.mService].mBusyShare,
     .mMayRunAgain = history.mIsIdempotent && history.mRuns < history.mMaxRuns,
   };
   const auto next = cascade::NextModel(step, aState.mOptions.mConfidence);
-  if (!next || !ConsumeRetry(aState, aCall, attempt_result::Failure)) {
-    return std::nullopt;
+  if (!next) {
+    return false;
+  }
+  if (!ConsumeRetry(aState, aCall, attempt_result::Failure)) {
+    return false;
   }
-  return next;
+  aCall.mModelIndex = *next;
+  return true;
 }
 
 const char* NameOf(run_end aEnd)
@@ -267,9 +251,8 @@
                           duration::zero(), net::Now());
     } else if (result == attempt_result::Success &&
                outcome.mExchange->Header().result_int() < 300) {
-      if (const auto next = Escalation(aState, aCall, outcome, delivered); next) {
+      if (Escalates(aState, aCall, outcome, delivered)) {
         outcome.mExchange->Close();
-        aCall.mModelIndex = *next;
         aCall.mTriedServers.clear();
         continue;
       }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -103,7 +103,7 @@
   /// Of the old version: time between a stream's events, by service and model; time of a plain
   /// answer, by route.
   std::unordered_map<std::string, median_estimate> mPaces;
-  std::unordered_map<service_id, double> mEngineLoad; ///< 0 (idle) to 1, from times to first events
+  std::unordered_map<service_id, placement::engine_load> mEngineLoads;
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
   /// Calls that are being handled. Shared with them, as they may outlive the state at the end of
--- a/src/placement/engine_speed.cpp
+++ b/src/placement/engine_speed.cpp
@@ -13,7 +13,7 @@
 constexpr double kWeightBelow = 1;
 /// Bounds the effect of an answer that was held up by a fault.
 constexpr double kMaxExcess = 2;
-constexpr std::uint64_t kMinSamplesToBound = 8; ///< until then the estimate may be far too low
+constexpr std::uint64_t kMinSamples = 8; ///< until then the estimate may be far too low
 /// Variance of the token counts, in tokens squared, below which they do not show a slope.
 constexpr double kMinVariance = 100.0 * 100.0;
 
@@ -45,12 +45,28 @@
   return aTime.mBaseMs + aTime.mMsPerToken * static_cast<double>(aTokens);
 }
 
+bool IsKnown(const engine_speed& aSpeed)
+{
+  return aSpeed.mSamples >= kMinSamples;
+}
+
+void RecordLoad(engine_load& aLoad, double aIdleMs, duration aTime)
+{
+  constexpr double kSmoothing = 0.2;
+  const double milliseconds = std::chrono::duration<double, std::milli>(aTime).count();
+  if (milliseconds <= 0) {
+    return;
+  }
+  const double sample = std::clamp(1 - aIdleMs / milliseconds, 0.0, 1.0);
+  aLoad.mBusyShare += kSmoothing * (sample - aLoad.mBusyShare);
+}
+
 void RecordFirstEvent(engine_speed& aSpeed, std::int64_t aTokens, duration aTime)
 {
   const auto tokens = static_cast<double>(aTokens);
   double milliseconds = std::chrono::duration<double, std::milli>(aTime).count();
   const double expected = PrefillMs(PrefillTimeOf(aSpeed), aTokens);
-  if (aSpeed.mSamples >= kMinSamplesToBound) {
+  if (IsKnown(aSpeed)) {
     milliseconds = std::min(milliseconds, expected * kMaxExcess);
   }
   const double weight =
--- a/src/placement/engine_speed.h
+++ b/src/placement/engine_speed.h
@@ -36,4 +36,19 @@
 /// Expected time in ms to the first event on an idle engine.
 double PrefillMs(const prefill_time& aTime, std::int64_t aTokens);
 
+/// Whether there are samples enough to compare with.
+bool IsKnown(const engine_speed& aSpeed);
+
+/// Load of a service's engines.
+struct engine_load
+{
+  /// Share of time in which they are busy, from 0 to 1. A queue in front of a server that is busy
+  /// for a share of time makes answers take 1 / (1 - share) as long as on an idle one.
+  double mBusyShare = 0;
+};
+
+/// Adds the time to a first event.
+/// \param aIdleMs the same on an idle engine
+void RecordLoad(engine_load& aLoad, double aIdleMs, duration aTime);
+
 } // namespace tamarackweir::placement
--- a/src/placement/engine_speed_test.cpp
+++ b/src/placement/engine_speed_test.cpp
@@ -85,6 +85,25 @@
   CHECK(PrefillMs(PrefillTimeOf(speed), 4000) > 800);
 }
 
+// Guards against a load that follows from how soon callers want answers: engines that take their
+// usual time are not busy, whatever the route's target latency.
+TEST_CASE("the load is the share of the time to a first event beyond that on an idle engine")
+{
+  engine_load load;
+  for (int i = 0; i < 50; ++i) {
+    RecordLoad(load, 900, 900ms);
+  }
+  CHECK(load.mBusyShare == doctest::Approx(0));
+  for (int i = 0; i < 50; ++i) {
+    RecordLoad(load, 900, 3600ms);
+  }
+  CHECK(load.mBusyShare == doctest::Approx(0.75).epsilon(0.01));
+  for (int i = 0; i < 50; ++i) {
+    RecordLoad(load, 900, 600ms);
+  }
+  CHECK(load.mBusyShare == doctest::Approx(0).epsilon(0.01));
+}
+
 TEST_CASE("without samples the estimate is the stated prior")
 {
   CHECK(PrefillTimeOf({}).mMsPerToken == prefill_time{}.mMsPerToken);
