Move overdue requests by work ahead and time left, not by target latency

What callers saw: a request was taken from the server that worked on it once 0.6 or 0.9 of the route's target latency had passed, also with no other server left; its caller got 502 seconds before its deadline. A stream whose pause was over 1.5 times the target gap moved to servers with more work. Cause: admission.cpp (kTimeoutPart, kStreamFailOverPart) and forward_stream.cpp (kGapFactor) gave an attempt up by the target, after which the caller still waits until its deadline; whether another server would answer sooner was not asked. Change: an answer, first event or next event is overdue after four times the usual latency (an even share of the caller's time for each attempt left while that is unknown; 700 ms between events). Then, and each time that the wait has doubled, the request moves if another server would answer before the deadline and its cost there, with the delay of the requests that are there, is below the wait so far; from a dead machine it moves at once. A log line `overdue` names wait, elsewhere, cost, time left and decision.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -6,14 +6,12 @@
 
 namespace {
 
-constexpr double kTimeoutFactor = 4;        ///< times the estimated latency until a timeout
-constexpr duration kMinTimeout = 80ms;      ///< a few round trips and a wait for a slot
-constexpr double kTimeoutPart = 0.6;        ///< of the target latency that one attempt may take
-constexpr double kStreamFailOverPart = 0.9; ///< of the target latency; it will be late here
-constexpr duration kMinProbeDelay = 400ms;  ///< a busy engine's step takes up to half of this
-constexpr std::uint64_t kMinSamples = 5;    ///< until then the latency counts as unknown
-constexpr double kSmoothing = 0.1;          ///< weight of a new latency sample
-constexpr double kBudgetPart = 0.85;        ///< margin, since windows are not aligned
+constexpr double kOverdueFactor = 4;       ///< times the usual latency
+constexpr duration kMinPlainWait = 80ms;   ///< a few round trips and a wait for a slot
+constexpr duration kMinStreamWait = 400ms; ///< a busy engine's step takes up to half of this
+constexpr std::uint64_t kMinSamples = 5;   ///< until then the latency counts as unknown
+constexpr double kSmoothing = 0.1;         ///< weight of a new latency sample
+constexpr double kBudgetPart = 0.85;       ///< margin, since windows are not aligned
 
 constexpr duration kMinRetryAfter = 50ms;
 constexpr duration kMaxRetryAfter = 1s;
@@ -80,29 +78,33 @@
   return aLongest < aLeft;
 }
 
-attempt_limits LimitsOf(const attempt_history& aHistory, const latency_estimate& aLatency,
-                        const routing::route& aRoute, time_point aNow)
+duration OverdueAfter(const attempt_history& aHistory, const latency_estimate& aLatency,
+                      routing::call_kind aKind, time_point aNow)
 {
   const duration left = std::max(aHistory.mDeadline - aNow, duration::zero());
-  const bool isLast = !aHistory.mIsIdempotent || aHistory.mRuns >= aHistory.mMaxRuns;
-  if (isLast || aHistory.mDelivered) {
-    return { .mProbeAfter = left, .mFailOverAfter = left };
+  const int attemptsLeft = aHistory.mMaxRuns - aHistory.mRuns + 1; // with this one
+  if (!aHistory.mIsIdempotent || attemptsLeft <= 1 || aHistory.mDelivered) {
+    return left;
   }
-  const auto targetPart = [&aRoute](double aPart) {
-    return std::chrono::duration_cast<duration>(aRoute.mTargetLatency * aPart);
-  };
-  const bool isKnown = aLatency.mSamples >= kMinSamples;
-  const auto adaptive = std::chrono::duration_cast<duration>(
-    std::chrono::duration<double, std::milli>(isKnown ? aLatency.mMs * kTimeoutFactor : 0));
-  if (aRoute.mKind != routing::call_kind::Stream) {
-    const duration limit =
-      std::min(left, std::max({ adaptive, kMinTimeout, targetPart(kTimeoutPart) }));
-    return { .mProbeAfter = limit, .mFailOverAfter = limit };
+  if (aLatency.mSamples < kMinSamples) {
+    return left / attemptsLeft;
   }
-  const duration failOver = std::min(left, std::max(adaptive, targetPart(kStreamFailOverPart)));
-  const duration probe =
-    std::min(failOver, isKnown ? std::max(adaptive, kMinProbeDelay) : targetPart(kTimeoutPart));
-  return { .mProbeAfter = probe, .mFailOverAfter = failOver };
+  const duration least = aKind == routing::call_kind::Stream ? kMinStreamWait : kMinPlainWait;
+  return std::min(
+    left,
+    std::max(least, std::chrono::duration_cast<duration>(
+                      std::chrono::duration<double, std::milli>(aLatency.mMs * kOverdueFactor))));
+}
+
+duration NextCheck(duration aWaited, duration aLeft)
+{
+  return std::min(aLeft, std::max<duration>(1ms, 2 * aWaited));
+}
+
+bool MovesOn(const overdue_wait& aWait)
+{
+  return aWait.mElsewhere && aWait.mElsewhere->mAnswersIn < aWait.mLeft &&
+         (!aWait.mIsReachable || aWait.mElsewhere->mCost < aWait.mWaited);
 }
 
 void RecordLatency(latency_estimate& aLatency, duration aTime)
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -73,20 +73,36 @@
 bool IsAcceptedWhileStopping(routing::call_kind aKind, duration aLongest, duration aLeft,
                              duration aGrace);
 
-/// Timeouts of one attempt until its answer or first event, counted from the send time.
-struct attempt_limits
+/// When an attempt's answer or first event is overdue, counted from the send time; then it is
+/// decided whether the request moves, see `MovesOn`. Several times the usual latency, or an even
+/// share of the caller's time for each attempt left while that is not known. The last attempt that
+/// the route allows gets all the remaining time.
+duration OverdueAfter(const attempt_history& aHistory, const latency_estimate& aLatency,
+                      routing::call_kind aKind, time_point aNow);
+
+/// How long after the start of an overdue wait the move is considered again.
+duration NextCheck(duration aWaited, duration aLeft);
+
+/// What a request would find at another server.
+struct other_server
 {
-  duration mProbeAfter{};    ///< when to check that the server's machine is reachable
-  duration mFailOverAfter{}; ///< when to retry on another server
+  duration mAnswersIn{}; ///< with the work ahead of the request there
+  duration mCost{};      ///< the same, and the delay of the requests that are there
 };
 
-/// The timeouts of an attempt. The last attempt that the route allows gets all the remaining time.
-///
-/// A plain call is cheap to repeat, so it is abandoned after several times the estimated latency.
-/// A stream is not: the next server would prefill the prompt again, and with all engines busy each
-/// failover adds to their load. A stream fails over early only if its server is unreachable.
-attempt_limits LimitsOf(const attempt_history& aHistory, const latency_estimate& aLatency,
-                        const routing::route& aRoute, time_point aNow);
+/// A request that waits for an overdue answer, first event or next event.
+struct overdue_wait
+{
+  duration mWaited{};
+  duration mLeft{};                       ///< until the caller's deadline
+  bool mIsReachable = true;               ///< the server's machine accepts connections
+  std::optional<other_server> mElsewhere; ///< absent: there is no other server
+};
+
+/// Whether the request moves to another server. That one must answer before the caller's deadline,
+/// and the request must gain more than it takes from the requests there, unless its own server is
+/// dead. A wait that is overdue is expected to last as long again as it has lasted.
+bool MovesOn(const overdue_wait& aWait);
 
 /// Updates the estimate with the time to an answer or first event.
 void RecordLatency(latency_estimate& aLatency, duration aTime);
--- a/src/gateway/admission_test.cpp
+++ b/src/gateway/admission_test.cpp
@@ -99,35 +99,65 @@
   CHECK_FALSE(MayRetry(attempt_result::Broken, MakeHistory(true), empty, kStart));
 }
 
-TEST_CASE("an idempotent call times out early, except for its last attempt")
+TEST_CASE("an answer is overdue after several times its usual time, except for the last attempt")
 {
-  const routing::route route{ .mKind = routing::call_kind::Idempotent, .mTargetLatency = 150ms };
+  using routing::call_kind;
   latency_estimate latency;
   for (int i = 0; i < 20; ++i) {
     RecordLatency(latency, 30ms);
   }
-  const duration first = LimitsOf(MakeHistory(true, 1), latency, route, kStart).mFailOverAfter;
+  const duration first = OverdueAfter(MakeHistory(true, 1), latency, call_kind::Idempotent, kStart);
   CHECK(first < 500ms);
   CHECK(first >= 80ms);
-  CHECK(LimitsOf(MakeHistory(true, 3), latency, route, kStart).mFailOverAfter == 1s);
-  CHECK(LimitsOf(MakeHistory(false, 1), latency, route, kStart).mFailOverAfter == 1s);
+  CHECK(OverdueAfter(MakeHistory(true, 3), latency, call_kind::Idempotent, kStart) == 1s);
+  CHECK(OverdueAfter(MakeHistory(false, 1), latency, call_kind::Idempotent, kStart) == 1s);
+  for (int i = 0; i < 50; ++i) {
+    RecordLatency(latency, 200ms);
+  }
+  const duration stream = OverdueAfter(MakeHistory(true, 1), latency, call_kind::Stream, kStart);
+  CHECK(stream >= 400ms);
+  CHECK(stream < 1s);
 }
 
-// Guards against early failovers that delay all streams while every engine is busy (inc-f3eb,
-// plovdiv-zlato).
-TEST_CASE("a stream fails over from a reachable server only near its target latency")
+// Guards against giving up an attempt by a time that nobody has measured.
+TEST_CASE("while the usual time is not known, each attempt left gets an even share of the time")
 {
-  const routing::route route{ .mKind = routing::call_kind::Stream, .mTargetLatency = 4s };
-  latency_estimate latency;
-  for (int i = 0; i < 20; ++i) {
-    RecordLatency(latency, 200ms);
-  }
-  attempt_history history = MakeHistory(true, 1);
-  history.mDeadline = kStart + 10s;
-  const attempt_limits limits = LimitsOf(history, latency, route, kStart);
-  CHECK(limits.mProbeAfter < 1s);
-  CHECK(limits.mFailOverAfter > 3s);
-  CHECK(limits.mFailOverAfter <= 4s);
+  using routing::call_kind;
+  CHECK(OverdueAfter(MakeHistory(true, 1), {}, call_kind::Stream, kStart) == duration(1s) / 3);
+  CHECK(OverdueAfter(MakeHistory(true, 2), {}, call_kind::Stream, kStart) == duration(1s) / 2);
+  CHECK(OverdueAfter(MakeHistory(true, 3), {}, call_kind::Stream, kStart) == 1s);
+}
+
+// Guards against failovers that delay all streams while every engine is busy (inc-f3eb,
+// plovdiv-zlato): each one prefills its prompt again.
+TEST_CASE("an overdue request stays unless it gains more elsewhere than others lose by it")
+{
+  const other_server busy{ .mAnswersIn = 500ms, .mCost = 1500ms };
+  CHECK_FALSE(MovesOn({ .mWaited = 1s, .mLeft = 9s, .mElsewhere = busy }));
+  CHECK(MovesOn({ .mWaited = 2s, .mLeft = 8s, .mElsewhere = busy }));
+  const other_server idle{ .mAnswersIn = 500ms, .mCost = 500ms };
+  CHECK(MovesOn({ .mWaited = 1s, .mLeft = 9s, .mElsewhere = idle }));
+}
+
+TEST_CASE("a request does not move to a server that would answer after the caller's deadline")
+{
+  const other_server other{ .mAnswersIn = 1500ms, .mCost = 1500ms };
+  CHECK_FALSE(MovesOn({ .mWaited = 4s, .mLeft = 1s, .mElsewhere = other }));
+  CHECK_FALSE(MovesOn({ .mWaited = 4s, .mLeft = 1s, .mIsReachable = false, .mElsewhere = other }));
+}
+
+TEST_CASE("a request leaves an unreachable server at once, if there is another one")
+{
+  const other_server other{ .mAnswersIn = 2s, .mCost = 5s };
+  CHECK(MovesOn({ .mWaited = 400ms, .mLeft = 9s, .mIsReachable = false, .mElsewhere = other }));
+  CHECK_FALSE(MovesOn({ .mWaited = 400ms, .mLeft = 9s, .mIsReachable = false }));
+}
+
+TEST_CASE("the checks of an overdue wait become rarer and end with the caller's time")
+{
+  CHECK(NextCheck(400ms, 10s) == 800ms);
+  CHECK(NextCheck(8s, 10s) == 10s);
+  CHECK(NextCheck(0s, 10s) > 0s);
 }
 
 TEST_CASE("an instance that is stopping accepts requests that can end in time")
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -90,14 +90,6 @@
   }
 }
 
-/// The model that the call runs on, as the gateway or the caller chose it.
-model_id ModelOf(const call& aCall)
-{
-  return !aCall.mRoute->mModels.empty() && aCall.mHeader.mAnyModel
-           ? aCall.mRoute->mModels[aCall.mModelIndex]
-           : model_id(aCall.mHeader.mModel);
-}
-
 /// Records the time to the first event, which also shows how busy the engines are.
 void RecordPrefillTime(gateway_state& aState, const call& aCall, const attempt& aAttempt,
                        duration aTime)
@@ -174,13 +166,6 @@
   co_return !failure;
 }
 
-placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall)
-{
-  const auto speed = aState.mEngineSpeeds.find({ aCall.mService, ModelOf(aCall) });
-  return placement::PrefillTimeOf(speed == aState.mEngineSpeeds.end() ? placement::engine_speed{}
-                                                                      : speed->second);
-}
-
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall)
 {
   std::string key = aCall.mRoute->mName;
@@ -222,6 +207,31 @@
          MayRetry(aResult, HistoryOf(aState, aCall), BudgetOf(aState, aCall.mService), net::Now());
 }
 
+net::task<bool> MovesElsewhere(gateway_state& aState, call& aCall, attempt& aAttempt,
+                               duration aWaited)
+{
+  const auto elsewhere = FindElsewhere(aState, aCall);
+  if (!elsewhere) {
+    co_return false;
+  }
+  const bool isReachable = co_await IsReachable(aAttempt.Pointer(), aCall.mCaller->Executor());
+  const bool moves = MovesOn({ .mWaited = aWaited,
+                               .mLeft = aCall.mDeadline - net::Now(),
+                               .mIsReachable = isReachable,
+                               .mElsewhere = elsewhere });
+  observe::event_line("overdue")
+    .Text("request", aCall.mHeader.mAttempt)
+    .Text("server", aAttempt.Server().mAnnounced.mId.Value())
+    .Text("reachable", isReachable ? "yes" : "no")
+    .Millis("waited_ms", aWaited)
+    .Millis("elsewhere_ms", elsewhere->mAnswersIn)
+    .Millis("cost_ms", elsewhere->mCost)
+    .Millis("left_ms", aCall.mDeadline - net::Now())
+    .Text("moves", moves ? "yes" : "no")
+    .Write();
+  co_return moves&& ConsumeRetry(aState, aCall, attempt_result::TimedOut);
+}
+
 net::task<attempt_outcome> Attempt(gateway_state& aState, call& aCall,
                                    std::optional<std::uint64_t> aLastEvent)
 {
@@ -232,22 +242,12 @@
   const backends::cold_share coldShare{ .mSelf = aState.mSelf.mId.Value(),
                                         .mInstances = aState.mInstances,
                                         .mRate = coldRate };
-  placement::demand demand;
-  demand.mService = aCall.mService;
-  demand.mParts = aCall.mHeader.mParts;
-  demand.mPrefill = PrefillTimeOf(aState, aCall);
-  demand.mDataCentre = aState.mSelf.mDataCentre;
-  demand.mTriedServers = &aCall.mTriedServers;
-  demand.mUnreached = &aCall.mUnreached;
+  placement::demand demand = DemandOf(aState, aCall);
   demand.mAcquireColdSlot = [&coldShare, now](backends::backend_server& aServer) {
     return backends::AcquireColdSlot(aServer, coldShare, now);
   };
-  std::optional<model_id> model;
-  if (!aCall.mRoute->mModels.empty() && aCall.mHeader.mAnyModel) {
-    model = aCall.mRoute->mModels[aCall.mModelIndex];
-  }
-  demand.mModelHash = StableHash(model ? model->Value() : aCall.mHeader.mModel);
-
+  const std::optional<model_id> model =
+    IsModelChosenHere(aCall) ? std::optional(ModelOf(aCall)) : std::nullopt;
   const rollout::shift* const shift = ShiftOf(aState, aCall.mService);
   const placement::choice choice = ChooseServer(aState, aCall, demand, shift, now);
   ++aCall.mAttempts;
@@ -318,23 +318,17 @@
   aCall.mKeepsRunning = !history.mIsIdempotent;
   outcome.mExchange->Send(std::move(message));
   outcome.mResult = attempt_result::Broken;
-  const attempt_limits limits = LimitsOf(history, LatencyOf(aState, aCall), *aCall.mRoute, sending);
-  net::error_code failure = co_await outcome.mExchange->ReadHeader(limits.mProbeAfter);
-  for (const duration limit : { limits.mFailOverAfter, aCall.mDeadline - sending }) {
-    if (failure != net::asio::error::timed_out || aCall.mCaller->IsGone()) {
-      break;
-    }
-    // The machine is probed once; a server that is reachable but slow gets more time.
-    const bool isDead =
-      limit == limits.mFailOverAfter && limits.mFailOverAfter > limits.mProbeAfter &&
-      !co_await IsReachable(outcome.mAttempt->Pointer(), aCall.mCaller->Executor());
-    const bool isLate = net::Now() - sending >= limits.mFailOverAfter;
-    if ((isDead || isLate) && ConsumeRetry(aState, aCall, attempt_result::TimedOut)) {
+  const duration left = aCall.mDeadline - sending;
+  duration check = OverdueAfter(history, LatencyOf(aState, aCall), aCall.mRoute->mKind, sending);
+  net::error_code failure = co_await outcome.mExchange->ReadHeader(check);
+  while (failure == net::asio::error::timed_out && check < left && !aCall.mCaller->IsGone()) {
+    if (co_await MovesElsewhere(aState, aCall, *outcome.mAttempt, net::Now() - sending)) {
       outcome.mResult = attempt_result::TimedOut;
       outcome.mIsReplaced = true;
       co_return outcome;
     }
-    failure = co_await outcome.mExchange->ReadHeader(sending + limit - net::Now());
+    check = NextCheck(net::Now() - sending, left);
+    failure = co_await outcome.mExchange->ReadHeader(sending + check - net::Now());
   }
   if (failure) {
     outcome.mReadFailure = failure;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -113,6 +113,11 @@
 net::task<bool> AcceptsConnections(backends::server_pointer aServer,
                                    net::asio::any_io_executor aExecutor);
 
+/// Whether the call moves to another server because its answer, first event or next event is
+/// overdue for `aWaited`; if so, charges the retry budget.
+net::task<bool> MovesElsewhere(gateway_state& aState, call& aCall, attempt& aAttempt,
+                               duration aWaited);
+
 /// Records the result of an attempt in the server's health, the shift's statistics and the log.
 void FinishAttempt(gateway_state& aState, call& aCall, attempt_outcome& aOutcome, duration aTime);
 
@@ -131,9 +136,6 @@
 /// Forwards a request whose answer is a stream of events.
 net::task<> ForwardStream(gateway_state& aState, call& aCall);
 
-/// Prefill time of the call's model on the engines of its service.
-placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall);
-
 /// Estimated latency of the call's route and model.
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall);
 
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -12,11 +12,8 @@
 
 namespace {
 
-/// A pause of this multiple of the route's target gap makes the stream fail over to another server.
-/// A shorter one is as likely due to a busy engine, and another would first prefill the prompt.
-constexpr double kGapFactor = 1.5;
-constexpr duration kProbeGap = 700ms; ///< a pause after which the server's reachability is checked
-constexpr duration kDefaultGap = 5s;  ///< for routes without a target gap
+/// A pause between events after which the stream is overdue; several steps of a busy engine.
+constexpr duration kOverduePause = 700ms;
 
 /// Progress of delivering a stream to the caller.
 struct delivery
@@ -78,11 +75,6 @@
 net::task<run_end> PumpEvents(gateway_state& aState, call& aCall, attempt_outcome& aOutcome,
                               delivery& aDelivery)
 {
-  const duration gap =
-    aCall.mRoute->mTargetGap > 0s
-      ? std::chrono::duration_cast<duration>(aCall.mRoute->mTargetGap * kGapFactor)
-      : kDefaultGap;
-  const duration probe = std::min(gap, kProbeGap);
   net::exchange& exchange = *aOutcome.mExchange;
   relay::sse_splitter events{ .mNeedsIds = aDelivery.mLastEvent.has_value() };
   std::string bytes;
@@ -90,23 +82,18 @@
   stream_pace pace;
   while (!exchange.IsComplete()) {
     bytes.clear();
-    const duration left = std::max(aCall.mDeadline - net::Now(), duration::zero());
-    net::error_code failure = co_await exchange.ReadSome(bytes, std::min(left, probe));
-    if (failure == net::asio::error::timed_out && probe < left && !aCall.mCaller->IsGone()) {
-      bool mayMove = !co_await IsReachable(aOutcome.mAttempt->Pointer(), aCall.mCaller->Executor());
-      if (!mayMove) {
-        failure = co_await exchange.ReadSome(bytes, std::min(left, gap) - probe);
-        mayMove = failure == net::asio::error::timed_out && gap < left;
-      }
-      if (mayMove && aCall.mRoute->mIsResumable &&
-          ConsumeRetry(aState, aCall, attempt_result::TimedOut)) {
+    const time_point paused = net::Now();
+    const duration left = std::max(aCall.mDeadline - paused, duration::zero());
+    duration check = std::min(left, kOverduePause);
+    net::error_code failure = co_await exchange.ReadSome(bytes, check);
+    while (failure == net::asio::error::timed_out && check < left && !aCall.mCaller->IsGone()) {
+      if (aCall.mRoute->mIsResumable &&
+          co_await MovesElsewhere(aState, aCall, *aOutcome.mAttempt, net::Now() - paused)) {
         aOutcome.mIsReplaced = true;
         co_return run_end::Stalled;
       }
-      if (failure == net::asio::error::timed_out) {
-        failure = co_await exchange.ReadSome(
-          bytes, std::max(aCall.mDeadline - net::Now(), duration::zero()));
-      }
+      check = NextCheck(net::Now() - paused, left);
+      failure = co_await exchange.ReadSome(bytes, paused + check - net::Now());
     }
     if (aCall.mCaller->IsGone()) {
       co_return run_end::CallerLeft;
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "gateway/server_choice.h"
 
+#include "base/digest.h"
+
 #include <algorithm>
 
 namespace tamarackweir::gateway {
@@ -107,6 +109,56 @@
   return choice;
 }
 
+bool IsModelChosenHere(const call& aCall)
+{
+  return !aCall.mRoute->mModels.empty() && aCall.mHeader.mAnyModel;
+}
+
+model_id ModelOf(const call& aCall)
+{
+  return IsModelChosenHere(aCall) ? aCall.mRoute->mModels[aCall.mModelIndex]
+                                  : model_id(aCall.mHeader.mModel);
+}
+
+placement::demand DemandOf(const gateway_state& aState, const call& aCall)
+{
+  placement::demand demand;
+  demand.mService = aCall.mService;
+  demand.mModelHash = StableHash(ModelOf(aCall).Value());
+  demand.mParts = aCall.mHeader.mParts;
+  demand.mPrefill = PrefillTimeOf(aState, aCall);
+  demand.mDataCentre = aState.mSelf.mDataCentre;
+  demand.mTriedServers = &aCall.mTriedServers;
+  demand.mUnreached = &aCall.mUnreached;
+  demand.mAcquireColdSlot = [](backends::backend_server&) { return false; };
+  return demand;
+}
+
+std::optional<other_server> FindElsewhere(gateway_state& aState, call& aCall)
+{
+  placement::demand demand = DemandOf(aState, aCall);
+  const placement::choice choice =
+    ChooseServer(aState, aCall, demand, ShiftOf(aState, aCall.mService), net::Now());
+  if (choice.mServer == nullptr) {
+    return std::nullopt;
+  }
+  const double ownMs = demand.mParts.empty()
+                         ? LatencyOf(aState, aCall).mMs
+                         : placement::PrefillMs(demand.mPrefill, choice.mPrefillTokens);
+  const auto fromMs = [](double aMs) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(aMs));
+  };
+  return other_server{ .mAnswersIn = fromMs(choice.mWaitMs + ownMs),
+                       .mCost = fromMs(std::max(choice.mCostMs, choice.mWaitMs + ownMs)) };
+}
+
+placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall)
+{
+  const auto speed = aState.mEngineSpeeds.find({ aCall.mService, ModelOf(aCall) });
+  return placement::PrefillTimeOf(speed == aState.mEngineSpeeds.end() ? placement::engine_speed{}
+                                                                      : speed->second);
+}
+
 rollout::shift* ShiftOf(gateway_state& aState, const service_id& aService)
 {
   const auto found = aState.mShifts.find(aService);
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -7,6 +7,21 @@
 /// The shift of a service; null if there is none.
 rollout::shift* ShiftOf(gateway_state& aState, const service_id& aService);
 
+/// Whether the gateway chooses the call's model, and not its caller.
+bool IsModelChosenHere(const call& aCall);
+
+/// The model that the call runs on.
+model_id ModelOf(const call& aCall);
+
+/// Prefill time of the call's model on the engines of its service.
+placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall);
+
+/// What an attempt of the call needs of a server; cold servers are not used.
+placement::demand DemandOf(const gateway_state& aState, const call& aCall);
+
+/// What the call would find at the best server that it has not tried; nothing if there is none.
+std::optional<other_server> FindElsewhere(gateway_state& aState, call& aCall);
+
 /// Chooses the server for an attempt, of the version that the shift assigns to the call. The other
 /// version is used if that one has no server, unless it is known to be bad.
 /// \param aDemand what the attempt needs; its condition on servers is set here
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -59,6 +59,7 @@
 struct scored_server
 {
   backends::server_pointer mServer;
+  double mWaitMs = 0;
   double mCostMs = 0;
   std::int64_t mPrefillTokens = 0;
   std::uint64_t mServerHash = 0;
@@ -172,9 +173,9 @@
     const std::uint64_t hash = StableHash(server->mAnnounced.mId.Value());
     const std::uint64_t weight = Mix(shared, hash);
     InsertByWeight(holders, { .mWeight = weight, .mCandidate = candidates.size() });
-    candidates.push_back(scored_server{ .mServer = server,
-                                        .mCostMs = WaitMs(*server, aDemand, aOptions, aNow),
-                                        .mServerHash = hash });
+    const double waitMs = WaitMs(*server, aDemand, aOptions, aNow);
+    candidates.push_back(scored_server{
+      .mServer = server, .mWaitMs = waitMs, .mCostMs = waitMs, .mServerHash = hash });
   }
   result.mCandidateCount = candidates.size();
   if (candidates.empty()) {
@@ -216,6 +217,7 @@
     }
     result.mServer = candidate.mServer;
     result.mCostMs = candidate.mCostMs;
+    result.mWaitMs = candidate.mWaitMs;
     result.mPrefillTokens = candidate.mPrefillTokens;
     result.mPrefillMs = PrefillWorkMs(aDemand, candidate);
     result.mIsUnobstructed = backends::PrefillMsAt(*candidate.mServer, aNow) <= 0;
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -78,6 +78,7 @@
   std::optional<time_point> mOpensAt;
   std::size_t mCandidateCount = 0;
   double mCostMs = 0;
+  double mWaitMs = 0; ///< expected delay at the server, without the prefill of the own prompt
   std::int64_t mPrefillTokens = 0; ///< of the prompt, expected not to be cached
   double mPrefillMs = 0;           ///< expected time to prefill them
   bool mIsUnobstructed = false;    ///< no other prompt waits at the server, as far as known
