Tell refused callers to come back when servers have room

What callers saw: a refused caller with 20 s left was told to wait up to 1 s, one with little time to come at once, whatever the servers did; a caller whose answer could not be had any more was sent back, too. Cause: admission.cpp drew Retry-After within a quarter of the caller's time left, bounded by 1 s. When there will be room was not asked. Change: the caller comes back once a server is open and an answer's usual time has passed, in which requests at the full servers end; callers are spread over as long as that takes, with half of the rest left for the answer. Without time for an answer there is no Retry-After. Test: "a refused caller comes back when servers have room, however much time it has" and "callers of closed servers come back after the first opening" guard it; the interface is new, so they can't be built on the code before. By reading, the delay there for 20 s and an answer time of 60 ms goes up to 1 s (120 ms now). The bound of a third of the time left, which callers honour, is kept in its test.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -13,9 +13,12 @@
 constexpr double kSmoothing = 0.1;         ///< weight of a new latency sample
 constexpr double kBudgetPart = 0.85;       ///< margin, since windows are not aligned
 
-constexpr duration kMinRetryAfter = 50ms;
-constexpr duration kMaxRetryAfter = 1s;
-constexpr double kRetryAfterPart = 0.25; ///< of the caller's time left; a third is honoured
+constexpr duration kMinRetryAfter = 50ms; ///< several round trips
+
+duration PartOf(duration aTime, double aPart)
+{
+  return std::chrono::duration_cast<duration>(aTime * aPart);
+}
 
 } // namespace
 
@@ -45,8 +48,22 @@
   return overload::TryAcquireRetry(aBudget, attempt, aNow);
 }
 
-refusal RefusalAfter(attempt_result aResult, bool aAnyRun, duration aTimeLeft, double aPoint,
-                     std::optional<duration> aOpensIn)
+std::optional<duration> RetryAfter(const retry_outlook& aOutlook, double aPoint)
+{
+  const duration opensIn = std::max(aOutlook.mOpensIn, duration::zero());
+  const duration turnover = std::max(aOutlook.mAnswerTime, kMinRetryAfter);
+  const duration earliest = opensIn + turnover;
+  const duration latest = aOutlook.mTimeLeft - aOutlook.mAnswerTime;
+  if (earliest > latest) {
+    return std::nullopt;
+  }
+  // Half of the time after the first opening stays for the answer.
+  const duration spread = std::min(std::max(opensIn, turnover), (latest - earliest) / 2);
+  return earliest + PartOf(spread, aPoint);
+}
+
+refusal RefusalAfter(attempt_result aResult, bool aAnyRun, const retry_outlook& aOutlook,
+                     double aPoint)
 {
   if (aAnyRun) {
     if (aResult == attempt_result::TimedOut) {
@@ -54,18 +71,8 @@
     }
     return { .mStatus = 502, .mTitle = "the backend server broke off", .mNotRun = false };
   }
-  refusal result{ .mTitle = "no backend server took the request" };
-  const duration most = std::min<duration>(
-    kMaxRetryAfter, std::chrono::duration_cast<duration>(aTimeLeft * kRetryAfterPart));
-  if (most > kMinRetryAfter) {
-    const auto spread = std::chrono::duration_cast<duration>((most - kMinRetryAfter) * aPoint);
-    result.mRetryAfter = kMinRetryAfter + spread;
-  }
-  if (aOpensIn) {
-    result.mRetryAfter =
-      std::max(*aOpensIn, duration::zero()) + result.mRetryAfter.value_or(kMinRetryAfter);
-  }
-  return result;
+  return { .mTitle = "no backend server took the request",
+           .mRetryAfter = RetryAfter(aOutlook, aPoint) };
 }
 
 bool IsAcceptedWhileStopping(routing::call_kind aKind, duration aLongest, duration aLeft,
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -60,13 +60,24 @@
   std::optional<duration> mRetryAfter; ///< absent: retrying does not help
 };
 
+/// What a caller that comes back can expect.
+struct retry_outlook
+{
+  duration mTimeLeft{};   ///< until the caller's deadline
+  duration mAnswerTime{}; ///< usual time of such an answer; 0: unknown
+  duration mOpensIn{};    ///< until a server that wants no request now may be used again; 0: now
+};
+
+/// When a refused caller is to come back: once a server is open, and some of the requests that fill
+/// the servers now have ended. Callers are spread over as long as that takes, so that they return
+/// no faster than room appears. Absent if an answer could not begin before the caller's deadline.
+/// \param aPoint uniform in [0, 1); spreads the callers
+std::optional<duration> RetryAfter(const retry_outlook& aOutlook, double aPoint);
+
 /// The refusal of a request whose last attempt ended with `aResult`.
 /// \param aAnyRun an attempt may have run
-/// \param aTimeLeft until the caller's deadline
-/// \param aPoint uniform in [0, 1); spreads the retries of callers over time
-/// \param aOpensIn until a server that wants no request now may be used again; absent: at once
-refusal RefusalAfter(attempt_result aResult, bool aAnyRun, duration aTimeLeft, double aPoint,
-                     std::optional<duration> aOpensIn = std::nullopt);
+refusal RefusalAfter(attempt_result aResult, bool aAnyRun, const retry_outlook& aOutlook,
+                     double aPoint);
 
 /// Whether an instance that is stopping still accepts the request, so that its answer is complete
 /// before the process ends. Streams are accepted only early, since their length is not known.
--- a/src/gateway/admission_test.cpp
+++ b/src/gateway/admission_test.cpp
@@ -49,7 +49,8 @@
 TEST_CASE("a request that may have run is never reported as not run")
 {
   for (const attempt_result result : kAllResults) {
-    const refusal answer = RefusalAfter(result, true, 1s, 0.5);
+    const refusal answer =
+      RefusalAfter(result, true, { .mTimeLeft = 1s, .mAnswerTime = 30ms }, 0.5);
     CHECK_FALSE(answer.mNotRun);
     CHECK(answer.mStatus != 503);
     CHECK(answer.mStatus != 429);
@@ -60,14 +61,37 @@
 TEST_CASE("a request that has not run is refused with a retry delay within its caller's deadline")
 {
   for (const duration left : { duration(300ms), duration(1s), duration(10s) }) {
-    const refusal early = RefusalAfter(attempt_result::NotRun, false, left, 0);
-    const refusal late = RefusalAfter(attempt_result::NotRun, false, left, 0.999);
+    const retry_outlook outlook{ .mTimeLeft = left, .mAnswerTime = 30ms };
+    const refusal early = RefusalAfter(attempt_result::NotRun, false, outlook, 0);
+    const refusal late = RefusalAfter(attempt_result::NotRun, false, outlook, 0.999);
     CHECK(early.mNotRun);
     REQUIRE(early.mRetryAfter.has_value());
     CHECK(*early.mRetryAfter < *late.mRetryAfter);
     CHECK(*late.mRetryAfter <= left / 3);
   }
-  CHECK_FALSE(RefusalAfter(attempt_result::NotRun, false, 100ms, 0.5).mRetryAfter.has_value());
+  const retry_outlook late{ .mTimeLeft = 100ms, .mAnswerTime = 60ms };
+  CHECK_FALSE(RefusalAfter(attempt_result::NotRun, false, late, 0.5).mRetryAfter.has_value());
+}
+
+// Guards against a delay that is a part of the caller's time: a caller with 20 s left waited for
+// seconds though servers had room again after some milliseconds.
+TEST_CASE("a refused caller comes back when servers have room, however much time it has")
+{
+  const auto hasRoom = RetryAfter({ .mTimeLeft = 20s, .mAnswerTime = 60ms }, 0.999);
+  REQUIRE(hasRoom.has_value());
+  CHECK(*hasRoom <= 120ms);
+  const auto isSlow = RetryAfter({ .mTimeLeft = 20s, .mAnswerTime = 2s }, 0);
+  REQUIRE(isSlow.has_value());
+  CHECK(*isSlow >= 2s);
+}
+
+TEST_CASE("callers of closed servers come back after the first opening, over as long a time")
+{
+  const retry_outlook closed{ .mTimeLeft = 60s, .mAnswerTime = 100ms, .mOpensIn = 5s };
+  CHECK(*RetryAfter(closed, 0) >= 5s);
+  CHECK(*RetryAfter(closed, 0.999) >= 9s);
+  CHECK(*RetryAfter(closed, 0.999) <= 11s);
+  CHECK_FALSE(RetryAfter({ .mTimeLeft = 4s, .mAnswerTime = 100ms, .mOpensIn = 5s }, 0).has_value());
 }
 
 TEST_CASE("attempts end at the route's limit, and after repeated rejections")
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -14,11 +14,19 @@
 
 namespace {
 
-constexpr duration kConnectLimit = 300ms;   ///< a hundred round trips; a lost SYN takes longer
-constexpr duration kAliveWithin = 300ms;    ///< a server that sent data so recently is not probed
-constexpr duration kShortRetryAfter = 20ms; ///< another instance can serve it at once
+constexpr duration kConnectLimit = 300ms;    ///< a hundred round trips; a lost SYN takes longer
+constexpr duration kAliveWithin = 300ms;     ///< a server that sent data so recently is not probed
+constexpr duration kStartRetryAfter = 200ms; ///< an instance reads its configuration in less
+/// Retries reach other instances, which are not stopped at the same time.
+constexpr duration kStopRetryAfter = 20ms;
 constexpr std::size_t kMaxAnswerBytes = 1U << 24U; ///< of an answer that is buffered
 
+/// A random number, uniform in [0, 1).
+double Draw(gateway_state& aState)
+{
+  return std::uniform_real_distribution<double>()(aState.mRandom);
+}
+
 double PointOf(std::uint64_t aHash)
 {
   return static_cast<double>(aHash >> 11U) * 0x1.0p-53;
@@ -196,9 +204,10 @@
                   attempt_result aResult)
 {
   const time_point now = net::Now();
-  return RefusalAfter(aResult, aCall.mRuns > 0, aCall.mDeadline - now,
-                      std::uniform_real_distribution<double>()(aState.mRandom),
-                      aOutcome.mOpensAt ? std::optional(*aOutcome.mOpensAt - now) : std::nullopt);
+  const retry_outlook outlook{ .mTimeLeft = aCall.mDeadline - now,
+                               .mAnswerTime = HistoryOf(aState, aCall).mExpected,
+                               .mOpensIn = aOutcome.mOpensAt.value_or(now) - now };
+  return RefusalAfter(aResult, aCall.mRuns > 0, outlook, Draw(aState));
 }
 
 bool ConsumeRetry(gateway_state& aState, const call& aCall, attempt_result aResult)
@@ -482,14 +491,15 @@
   current.mHeader = aState.mDialect.mReadCall(*current.mRequest);
   current.mRoutes = aState.mRoutes;
   if (current.mRoutes == nullptr) {
-    const refusal notConfigured{ .mTitle = "no configuration yet", .mRetryAfter = duration(200ms) };
+    const refusal notConfigured{ .mTitle = "no configuration yet",
+                                 .mRetryAfter = kStartRetryAfter };
     co_await Refuse(aState, current, notConfigured);
     co_return;
   }
   if (const auto& limit = aState.mOptions.mBounds.mRefuseAfter;
       limit && net::Now() - aState.mConfirmedAt > *limit) {
     const refusal stale{ .mTitle = "the configuration is not confirmed",
-                         .mRetryAfter = kShortRetryAfter };
+                         .mRetryAfter = kStopRetryAfter };
     co_await Refuse(aState, current, stale);
     co_return;
   }
@@ -512,7 +522,7 @@
       aState.mIsStopping &&
       !IsAcceptedWhileStopping(current.mRoute->mKind, current.mDeadline - arrived, left,
                                aState.mOptions.mBounds.mStopGrace)) {
-    const refusal stopping{ .mTitle = "this instance stops", .mRetryAfter = kShortRetryAfter };
+    const refusal stopping{ .mTitle = "this instance stops", .mRetryAfter = kStopRetryAfter };
     co_await Refuse(aState, current, stopping);
     co_return;
   }
