Spread callers over the length of an outage when the store is away

What callers saw: an instance whose configuration nobody confirms any more sent every caller back after 20 ms. With the store away for all instances, each refused it again, until its retries were used up within 100 ms. Change: the delay is drawn up to the time for which the outage has lasted beyond the bound, at least 50 ms: early on another instance may serve, later it is the more likely that none can. None beyond the caller's deadline. Test: "callers come back later the longer an outage has lasted"; the function is new. By reading, the code before answers 20 ms whatever the outage.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -62,6 +62,13 @@
   return earliest + PartOf(spread, aPoint);
 }
 
+std::optional<duration> RetryAfterOutage(duration aOutage, std::optional<duration> aTimeLeft,
+                                         double aPoint)
+{
+  const duration wait = std::max(kMinRetryAfter, PartOf(aOutage, aPoint));
+  return aTimeLeft && wait >= *aTimeLeft ? std::nullopt : std::optional(wait);
+}
+
 refusal RefusalAfter(attempt_result aResult, bool aAnyRun, const retry_outlook& aOutlook,
                      double aPoint)
 {
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -74,6 +74,13 @@
 /// \param aPoint uniform in [0, 1); spreads the callers
 std::optional<duration> RetryAfter(const retry_outlook& aOutlook, double aPoint);
 
+/// The same during an outage of everything that would let this instance serve the request. Another
+/// instance may be able to serve, but the longer the outage has lasted, the more likely it is that
+/// none is, and that it lasts on.
+/// \param aTimeLeft until the caller's deadline, if it is known
+std::optional<duration> RetryAfterOutage(duration aOutage, std::optional<duration> aTimeLeft,
+                                         double aPoint);
+
 /// The refusal of a request whose last attempt ended with `aResult`.
 /// \param aAnyRun an attempt may have run
 refusal RefusalAfter(attempt_result aResult, bool aAnyRun, const retry_outlook& aOutlook,
--- a/src/gateway/admission_test.cpp
+++ b/src/gateway/admission_test.cpp
@@ -94,6 +94,15 @@
   CHECK_FALSE(RetryAfter({ .mTimeLeft = 4s, .mAnswerTime = 100ms, .mOpensIn = 5s }, 0).has_value());
 }
 
+// Guards against callers that ask again and again during an outage of the store for all instances.
+TEST_CASE("callers come back later the longer an outage has lasted")
+{
+  CHECK(*RetryAfterOutage(10ms, 10s, 0.5) == 50ms);
+  CHECK(*RetryAfterOutage(4s, 10s, 0.5) == 2s);
+  CHECK(*RetryAfterOutage(4s, std::nullopt, 0.75) == 3s);
+  CHECK_FALSE(RetryAfterOutage(30s, 10s, 0.5).has_value());
+}
+
 TEST_CASE("attempts end at the route's limit, and after repeated rejections")
 {
   auto budget = AmpleBudget();
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -499,7 +499,8 @@
   if (const auto& limit = aState.mOptions.mBounds.mRefuseAfter;
       limit && net::Now() - aState.mConfirmedAt > *limit) {
     const refusal stale{ .mTitle = "the configuration is not confirmed",
-                         .mRetryAfter = kStopRetryAfter };
+                         .mRetryAfter = RetryAfterOutage(net::Now() - aState.mConfirmedAt - *limit,
+                                                         current.mHeader.mTimeLeft, Draw(aState)) };
     co_await Refuse(aState, current, stale);
     co_return;
   }
