Accept streams while stopping by how long streams of the route take

What callers saw: an instance that stops refused a stream of half a second though it ran on for 5 s, and accepted one of 20 s in the first 30% of its grace, which the end of the process then cut. Cause: IsAcceptedWhileStopping accepted streams in a fixed first part of the grace (kStreamPart), with a reason that came from the platform's checks. Change: a running 95% quantile of the time of complete streams is kept for each route; a stream is accepted if that, or its deadline if sooner, ends before the process. The running median of roll-outs is the same function at 0.5, with the same steps. Test: "an instance that is stopping accepts requests that can end in time" now has a short stream late in the grace and a long one early in it; by reading, the code before decides both the other way round.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -82,14 +82,9 @@
            .mRetryAfter = RetryAfter(aOutlook, aPoint) };
 }
 
-bool IsAcceptedWhileStopping(routing::call_kind aKind, duration aLongest, duration aLeft,
-                             duration aGrace)
+bool IsAcceptedWhileStopping(duration aLongest, std::optional<duration> aUsual, duration aLeft)
 {
-  constexpr double kStreamPart = 0.7; // The time before fits two of the platform's checks.
-  if (aKind == routing::call_kind::Stream) {
-    return aLeft > std::chrono::duration_cast<duration>(aGrace * kStreamPart);
-  }
-  return aLongest < aLeft;
+  return std::min(aLongest, aUsual.value_or(aLongest)) < aLeft;
 }
 
 duration OverdueAfter(const attempt_history& aHistory, const latency_estimate& aLatency,
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -87,9 +87,11 @@
                      double aPoint);
 
 /// Whether an instance that is stopping still accepts the request, so that its answer is complete
-/// before the process ends. Streams are accepted only early, since their length is not known.
-bool IsAcceptedWhileStopping(routing::call_kind aKind, duration aLongest, duration aLeft,
-                             duration aGrace);
+/// before the process ends.
+/// \param aLongest until the caller's deadline
+/// \param aUsual time that nearly all answers of this route take; absent: unknown
+/// \param aLeft until the process ends
+bool IsAcceptedWhileStopping(duration aLongest, std::optional<duration> aUsual, duration aLeft);
 
 /// When an attempt's answer or first event is overdue, counted from the send time; then it is
 /// decided whether the request moves, see `MovesOn`. Several times the usual latency, or an even
--- a/src/gateway/admission_test.cpp
+++ b/src/gateway/admission_test.cpp
@@ -193,11 +193,14 @@
   CHECK(NextCheck(0s, 10s) > 0s);
 }
 
+// Guards against answers that the end of the process cuts, and against refusals of requests that
+// would have been answered in time.
 TEST_CASE("an instance that is stopping accepts requests that can end in time")
 {
-  using routing::call_kind;
-  CHECK(IsAcceptedWhileStopping(call_kind::RunOnce, 1s, 2s, 8s));
-  CHECK_FALSE(IsAcceptedWhileStopping(call_kind::RunOnce, 3s, 2s, 8s));
-  CHECK(IsAcceptedWhileStopping(call_kind::Stream, 25s, 7s, 8s));
-  CHECK_FALSE(IsAcceptedWhileStopping(call_kind::Stream, 25s, 4s, 8s));
+  CHECK(IsAcceptedWhileStopping(1s, std::nullopt, 2s));
+  CHECK_FALSE(IsAcceptedWhileStopping(3s, std::nullopt, 2s));
+  CHECK(IsAcceptedWhileStopping(25s, 3s, 4s));
+  CHECK_FALSE(IsAcceptedWhileStopping(25s, 3s, 2s));
+  CHECK_FALSE(IsAcceptedWhileStopping(25s, 20s, 7s));
+  CHECK_FALSE(IsAcceptedWhileStopping(25s, std::nullopt, 7s));
 }
--- a/src/gateway/shift_results.cpp
+++ b/src/gateway/shift_results.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::uint64_t kMinSamples = 10; ///< of the usual time, to compare with it
+constexpr double kMedian = 0.5;
 
 /// Whether an answer took far longer than the estimated latency.
 bool IsSlow(const latency_estimate& aLatency, duration aTime)
@@ -38,7 +39,7 @@
 
 /// Judges an answer by its pace, while both versions serve under their usual load.
 void JudgePace(gateway_state& aState, rollout::shift& aShift, const call& aCall,
-               const attempt& aAttempt, const median_estimate& aUsual, duration aTime)
+               const attempt& aAttempt, const quantile_estimate& aUsual, duration aTime)
 {
   if (aUsual.mSamples < kMinSamples ||
       !rollout::IsCanaryShare(aShift, aState.mOptions.mShift, net::Now())) {
@@ -55,29 +56,18 @@
 void RecordPace(gateway_state& aState, const std::string& aKey, const call& aCall,
                 const attempt& aAttempt, duration aTime)
 {
-  median_estimate& usual = aState.mPaces[aKey];
+  quantile_estimate& usual = aState.mPaces[aKey];
   if (rollout::shift* const shift = ShiftOf(aState, aCall.mService); shift != nullptr) {
     JudgePace(aState, *shift, aCall, aAttempt, usual, aTime);
   }
   if (!aAttempt.IsNewVersion()) {
-    RecordMedian(usual, aTime);
+    RecordQuantile(usual, kMedian, aTime);
   }
 }
 
 } // namespace
 
-void RecordMedian(median_estimate& aMedian, duration aTime)
-{
-  constexpr double kStep = 0.08; // of the estimate; settles within some dozens of samples
-  const double ms = std::chrono::duration<double, std::milli>(aTime).count();
-  if (++aMedian.mSamples == 1) {
-    aMedian.mMs = ms;
-  } else {
-    aMedian.mMs *= ms > aMedian.mMs ? 1 + kStep : 1 / (1 + kStep);
-  }
-}
-
-bool IsOffPace(const median_estimate& aUsual, duration aTime)
+bool IsOffPace(const quantile_estimate& aUsual, duration aTime)
 {
   constexpr double kOffPaceFactor = 2;
   return std::chrono::duration<double, std::milli>(aTime).count() > aUsual.mMs * kOffPaceFactor;
--- a/src/gateway/shift_results.h
+++ b/src/gateway/shift_results.h
@@ -18,11 +18,8 @@
 void RecordStreamPace(gateway_state& aState, const call& aCall, const attempt& aAttempt,
                       duration aPerEvent);
 
-/// Adds a sample to a running median.
-void RecordMedian(median_estimate& aMedian, duration aTime);
-
 /// Whether an answer came far slower than the usual one.
-bool IsOffPace(const median_estimate& aUsual, duration aTime);
+bool IsOffPace(const quantile_estimate& aUsual, duration aTime);
 
 /// Halts the shift on this instance, whatever state the store holds.
 /// \param aBy the instance that found the new version to be bad
--- a/src/gateway/shift_results_test.cpp
+++ b/src/gateway/shift_results_test.cpp
@@ -10,9 +10,9 @@
 // usual.
 TEST_CASE("very late answers do not hide that another version is slow")
 {
-  median_estimate usual;
+  quantile_estimate usual;
   for (int i = 0; i < 200; ++i) {
-    RecordMedian(usual, i % 5 == 0 ? duration(400ms) : duration(30ms));
+    RecordQuantile(usual, 0.5, i % 5 == 0 ? duration(400ms) : duration(30ms));
     if (i > 50) {
       CHECK(IsOffPace(usual, 89ms));
       CHECK_FALSE(IsOffPace(usual, 45ms));
@@ -22,12 +22,12 @@
 
 TEST_CASE("what is usual follows a lasting change of the load")
 {
-  median_estimate usual;
+  quantile_estimate usual;
   for (int i = 0; i < 50; ++i) {
-    RecordMedian(usual, 30ms);
+    RecordQuantile(usual, 0.5, 30ms);
   }
   for (int i = 0; i < 50; ++i) {
-    RecordMedian(usual, 200ms);
+    RecordQuantile(usual, 0.5, 200ms);
   }
   CHECK_FALSE(IsOffPace(usual, 250ms));
 }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -4,6 +4,7 @@
 #include "base/duty_roster.h"
 #include "cascade/confidence.h"
 #include "gateway/dialect.h"
+#include "gateway/quantile_estimate.h"
 #include "net/byte_budget.h"
 #include "observe/metrics.h"
 #include "overload/retry.h"
@@ -71,13 +72,6 @@
   std::uint64_t mSamples = 0;
 };
 
-/// Running median of a time, which a few very late answers do not move.
-struct median_estimate
-{
-  double mMs = 0;
-  std::uint64_t mSamples = 0;
-};
-
 /// State of the gateway on one instance. Used on the event loop only.
 struct gateway_state
 {
@@ -102,7 +96,8 @@
   std::map<std::pair<service_id, model_id>, placement::engine_speed> mEngineSpeeds;
   /// Of the old version: time between a stream's events, by service and model; time of a plain
   /// answer, by route.
-  std::unordered_map<std::string, median_estimate> mPaces;
+  std::unordered_map<std::string, quantile_estimate> mPaces;
+  std::unordered_map<std::string, quantile_estimate> mStreamTimes; ///< of complete ones, by route
   std::unordered_map<service_id, placement::engine_load> mEngineLoads;
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
