Count retries in the window that the settings state

What callers saw: with a window other than 10 s, retries were refused though the deployment's budget had room, or went beyond what it allows. Cause: the retry budget's window was 10 slots of 1 s in the code; the setting budgetWindowS was not read.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -131,6 +131,7 @@
 {
   overload::retry_budget& budget = aState.mBudgets[aService];
   const double instances = std::max<double>(1, static_cast<double>(aState.mInstances.size()));
+  budget.mWindow = aState.mOptions.mBounds.mRetryWindow;
   budget.mRatio = aState.mOptions.mBounds.mRetryRatio * kBudgetPart;
   budget.mFixedAllowance = aState.mOptions.mBounds.mRetrySlack * kBudgetPart / instances;
   return budget;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -29,9 +29,10 @@
 /// Limits from the deployment's settings.
 struct deployment_bounds
 {
-  double mRetryRatio = 0.1;  ///< retries per request of a service, over all instances
-  double mRetrySlack = 0;    ///< retries per window beyond the ratio, over all instances
-  duration mSessionGap = 5s; ///< a session that is idle for longer has ended
+  double mRetryRatio = 0.1;    ///< retries per request of a service, over all instances
+  double mRetrySlack = 0;      ///< retries per window beyond the ratio, over all instances
+  duration mRetryWindow = 10s; ///< of the two bounds above
+  duration mSessionGap = 5s;   ///< a session that is idle for longer has ended
   /// Age of the last confirmed configuration above which requests are refused, because a key or
   /// route may have been withdrawn meanwhile; absent: the known configuration stays in force.
   std::optional<duration> mRefuseAfter;
--- a/src/overload/retry.cpp
+++ b/src/overload/retry.cpp
@@ -7,24 +7,23 @@
 
 namespace {
 
-/// Moves the sliding window to the current second and clears the expired slots.
+/// Moves the sliding window to the current slot and clears the expired ones.
 void AdvanceWindow(retry_budget& aBudget, time_point aNow)
 {
-  const std::int64_t second =
-    std::chrono::duration_cast<std::chrono::seconds>(aNow.time_since_epoch()).count();
   const auto slots = static_cast<std::int64_t>(retry_budget::kSlots);
-  const std::int64_t passed = std::min(second - aBudget.mNewestSecond, slots);
+  const std::int64_t current = aNow.time_since_epoch() / (aBudget.mWindow / slots);
+  const std::int64_t passed = std::min(current - aBudget.mNewestSlot, slots);
   for (std::int64_t i = 0; i < passed; ++i) {
-    const auto slot = static_cast<std::size_t>((second - i) % slots);
+    const auto slot = static_cast<std::size_t>((current - i) % slots);
     aBudget.mRequests[slot] = 0;
     aBudget.mRetries[slot] = 0;
   }
-  aBudget.mNewestSecond = std::max(aBudget.mNewestSecond, second);
+  aBudget.mNewestSlot = std::max(aBudget.mNewestSlot, current);
 }
 
 std::size_t Slot(const retry_budget& aBudget)
 {
-  return static_cast<std::size_t>(aBudget.mNewestSecond) % retry_budget::kSlots;
+  return static_cast<std::size_t>(aBudget.mNewestSlot) % retry_budget::kSlots;
 }
 
 bool TryCharge(retry_budget& aBudget, time_point aNow)
--- a/src/overload/retry.h
+++ b/src/overload/retry.h
@@ -9,16 +9,17 @@
 
 namespace tamarackweir::overload {
 
-/// Limits retries and hedges to a share of the requests in a 10 s sliding window of 1 s slots.
+/// Limits retries and hedges to a share of the requests in a sliding window.
 struct retry_budget
 {
   static constexpr std::size_t kSlots = 10;
 
   double mRatio = 0.1;        ///< setting `retry_budget`
   double mFixedAllowance = 0; ///< retries per window allowed regardless of requests
+  duration mWindow = 10s;     ///< positive
   std::array<std::uint32_t, kSlots> mRequests{};
   std::array<std::uint32_t, kSlots> mRetries{};
-  std::int64_t mNewestSecond = 0; ///< the second of the newest slot
+  std::int64_t mNewestSlot = 0; ///< number of the newest slot
 };
 
 /// An attempt that failed or has not been answered yet.
@@ -37,10 +38,10 @@
 /// Returns whether to retry a failed attempt; if so, charges the budget.
 ///
 /// A retry needs an idempotent call or a `not_run` answer, no byte of the answer sent to the
-/// caller, time before the deadline, and remaining budget: including it, the retries of the last 10
-/// s must not exceed `mRatio` times the requests of the last 10 s, plus `mFixedAllowance`. If
-/// `mRatio` is above 0, one retry in 10 s is always allowed, or an instance with few requests could
-/// never retry.
+/// caller, time before the deadline, and remaining budget: including it, the retries of the last
+/// `mWindow` must not exceed `mRatio` times the requests of that time, plus `mFixedAllowance`. If
+/// `mRatio` is above 0, one retry in a window is always allowed, or an instance with few requests
+/// could never retry.
 bool TryAcquireRetry(retry_budget& aBudget, const attempt& aAttempt, time_point aNow);
 
 /// Ring buffer of the first-token times of one model's recent answers.
--- a/src/overload/retry_test.cpp
+++ b/src/overload/retry_test.cpp
@@ -47,6 +47,19 @@
   }
 }
 
+// Guards against counting retries in another span than the one that the settings bound.
+TEST_CASE("the budget counts in the window that is set")
+{
+  const attempt failed{ .mIdempotent = true, .mDeadline = kStart + 1h, .mExpectedDuration = 0s };
+  for (const duration window : { duration(2s), duration(10s), duration(60s) }) {
+    CAPTURE(window.count());
+    retry_budget budget{ .mRatio = 0.1, .mFixedAllowance = 1, .mWindow = window };
+    CHECK(TryAcquireRetry(budget, failed, kStart));
+    CHECK_FALSE(TryAcquireRetry(budget, failed, kStart + window * 9 / 10 - 1ms));
+    CHECK(TryAcquireRetry(budget, failed, kStart + window));
+  }
+}
+
 // Guards against running a non-idempotent call twice, and against retries past the deadline.
 TEST_CASE("only safe attempts with time left are retried")
 {
