Measure waits in the choice of servers by the engines' own times

What callers saw: on slow engines a shared part was prefilled again at another server though its own server's queue was shorter than the prefill; on fast ones a caller waited for longer than the prefill takes. Cause: choice_options had figures of one deployment's engines: 280 ms as "one long prompt's prefill", 6 ms as an engine's step for each request in flight, four steps for a plain call. Change: a wait is long if it exceeds the prefill of the prompt's own shared parts at the learned speed; a request in flight counts as the measured time between a stream's events, or the usual time of a plain call. Test: "another server takes over a shared part once the wait exceeds the part's prefill" fails on the code before for fast engines with 200 ms and for slow ones with 500 ms of wait; it passes now.

--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -120,13 +120,37 @@
                                   : model_id(aCall.mHeader.mModel);
 }
 
-placement::demand DemandOf(const gateway_state& aState, const call& aCall)
+std::string PaceKeyOf(const call& aCall)
+{
+  std::string key = aCall.mService.Value();
+  if (!aCall.mRoute->mModels.empty()) {
+    key += '/' + aCall.mRoute->mModels[aCall.mModelIndex].Value();
+  }
+  return key;
+}
+
+namespace {
+
+/// See `placement::demand`; 0 while it is not known.
+double TurnMs(gateway_state& aState, const call& aCall)
+{
+  if (aCall.mRoute->mKind != routing::call_kind::Stream) {
+    return LatencyOf(aState, aCall).mMs;
+  }
+  const auto pace = aState.mPaces.find(PaceKeyOf(aCall));
+  return pace == aState.mPaces.end() ? 0 : pace->second.mMs;
+}
+
+} // namespace
+
+placement::demand DemandOf(gateway_state& aState, const call& aCall)
 {
   placement::demand demand;
   demand.mService = aCall.mService;
   demand.mModelHash = StableHash(ModelOf(aCall).Value());
   demand.mParts = aCall.mHeader.mParts;
   demand.mPrefill = PrefillTimeOf(aState, aCall);
+  demand.mTurnMs = std::max(1.0, TurnMs(aState, aCall));
   demand.mDataCentre = aState.mSelf.mDataCentre;
   demand.mTriedServers = &aCall.mTriedServers;
   demand.mUnreached = &aCall.mUnreached;
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -13,11 +13,14 @@
 /// The model that the call runs on.
 model_id ModelOf(const call& aCall);
 
+/// Key of the pace of the call's streams.
+std::string PaceKeyOf(const call& aCall);
+
 /// Prefill time of the call's model on the engines of its service.
 placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall);
 
 /// What an attempt of the call needs of a server; cold servers are not used.
-placement::demand DemandOf(const gateway_state& aState, const call& aCall);
+placement::demand DemandOf(gateway_state& aState, const call& aCall);
 
 /// What the call would find at the best server that it has not tried; nothing if there is none.
 std::optional<other_server> FindElsewhere(gateway_state& aState, call& aCall);
--- a/src/gateway/shift_results.cpp
+++ b/src/gateway/shift_results.cpp
@@ -97,11 +97,7 @@
 void RecordStreamPace(gateway_state& aState, const call& aCall, const attempt& aAttempt,
                       duration aPerEvent)
 {
-  std::string key = aCall.mService.Value();
-  if (!aCall.mRoute->mModels.empty()) {
-    key += '/' + aCall.mRoute->mModels[aCall.mModelIndex].Value();
-  }
-  RecordPace(aState, key, aCall, aAttempt, aPerEvent);
+  RecordPace(aState, PaceKeyOf(aCall), aCall, aAttempt, aPerEvent);
 }
 
 void HaltShift(rollout::shift& aShift, const instance_id& aBy)
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -71,6 +71,16 @@
   return static_cast<double>(aCandidate.mPrefillTokens) * aDemand.mPrefill.mMsPerToken;
 }
 
+/// Engine time to prefill all parts that other requests share.
+double SharedPrefillMs(const demand& aDemand)
+{
+  std::int64_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < aDemand.mParts.size(); ++i) {
+    tokens += aDemand.mParts[i].mTokens;
+  }
+  return static_cast<double>(tokens) * aDemand.mPrefill.mMsPerToken;
+}
+
 constexpr std::size_t kMaxHolders = 3; ///< servers that may cache a part in high demand
 
 /// A candidate and its rendezvous weight for the shared parts.
@@ -103,10 +113,8 @@
 double WaitMs(const backends::backend_server& aServer, const demand& aDemand,
               const choice_options& aOptions, time_point aNow)
 {
-  double wait = backends::RequestsAt(aServer, aNow) * aOptions.mRequestMs;
-  if (aDemand.mParts.empty()) {
-    wait *= aOptions.mPlainCallFactor;
-  } else {
+  double wait = backends::RequestsAt(aServer, aNow) * aDemand.mTurnMs;
+  if (!aDemand.mParts.empty()) {
     wait += backends::PrefillMsAt(aServer, aNow);
   }
   wait += std::chrono::duration<double, std::milli>(backends::DelayOf(aServer, aNow)).count();
@@ -124,7 +132,7 @@
 /// How many of the servers first in rendezvous order are assumed to cache the part. All instances
 /// know the same queues, so while one is long they all use the next server, which then caches it
 /// too.
-std::size_t CountHolders(const std::vector<scored_server>& aCandidates,
+std::size_t CountHolders(const std::vector<scored_server>& aCandidates, const demand& aDemand,
                          const std::array<ranked_candidate, kMaxHolders>& aHolders,
                          const choice_options& aOptions, time_point aNow)
 {
@@ -133,8 +141,9 @@
     sum += candidate.mCostMs;
   }
   // With all servers busy, another prefill of the part would only add load.
-  const double longWait = std::max(aOptions.mLongWaitMs, aOptions.mLongWaitFactor * sum /
-                                                           static_cast<double>(aCandidates.size()));
+  const double longWait =
+    std::max(SharedPrefillMs(aDemand),
+             aOptions.mLongWaitFactor * sum / static_cast<double>(aCandidates.size()));
   std::size_t count = 1;
   const auto isBusy = [&](const scored_server& aCandidate) {
     return aCandidate.mCostMs > longWait || RankOf(*aCandidate.mServer, aNow) > 0;
@@ -188,13 +197,13 @@
     return result;
   }
 
-  const std::size_t holderCount = CountHolders(candidates, holders, aOptions, aNow);
+  const std::size_t holderCount = CountHolders(candidates, aDemand, holders, aOptions, aNow);
   const auto isHolder = [&holders, holderCount](std::size_t aCandidate) {
     return std::any_of(
       holders.begin(), holders.begin() + static_cast<std::ptrdiff_t>(holderCount),
       [aCandidate](const ranked_candidate& aHolder) { return aHolder.mCandidate == aCandidate; });
   };
-  std::uniform_real_distribution<double> jitter(0.0, aOptions.mRequestMs / 2);
+  std::uniform_real_distribution<double> jitter(0.0, aDemand.mTurnMs / 2);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     scored_server& candidate = candidates[i];
     candidate.mCostMs += jitter(aRandom);
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -24,9 +24,12 @@
   service_id mService;
   std::uint64_t mModelHash = 0; ///< cached parts are valid for the same model only
   std::vector<prompt_part> mParts;
-  prefill_time mPrefill;                                 ///< of the model on the service's engines
-  data_centre_id mDataCentre;                            ///< of this instance
-  const std::vector<server_id>* mTriedServers = nullptr; ///< servers already tried
+  prefill_time mPrefill; ///< of the model on the service's engines
+  /// Time by which a request in flight delays another one: between two events of a stream, in which
+  /// an engine serves each request once; or of a plain call, as servers serve those one by one.
+  double mTurnMs = 1;
+  data_centre_id mDataCentre;                              ///< of this instance
+  const std::vector<server_id>* mTriedServers = nullptr;   ///< servers already tried
   const std::vector<data_centre_id>* mUnreached = nullptr; ///< once per failed connect
   /// Whether the request may use the server, by version, evacuation and region.
   std::function<bool(const backends::backend_server&)> mIsAllowed;
@@ -48,12 +51,10 @@
   /// Weight of the request's own prefill against the server's queue. Processing a cached part again
   /// delays all later requests, so the queue mostly decides between servers with equal prefill.
   double mPrefillWeight = 40;
-  /// Expected wait above which the next server holds a shared part too; one long prompt's prefill.
-  double mLongWaitMs = 280;
-  double mLongWaitFactor = 2;       ///< a long wait also exceeds this times the servers' mean wait
+  /// While the wait at a server exceeds the prefill of a shared part, and the servers' mean wait by
+  /// this factor, the next server holds the part too.
+  double mLongWaitFactor = 2;
   duration mCacheLifetime = 9s;     ///< unused for longer, a shared part counts as evicted
-  double mRequestMs = 6;            ///< delay per request in flight; a step of an engine
-  double mPlainCallFactor = 4;      ///< a plain call takes this many engine steps
   double mFailurePenaltyMs = 3000;  ///< penalty at a failure share of 1
   double mToleratedFailures = 0.2;  ///< failure share without a penalty
   double mUnreachedPenaltyMs = 500; ///< per failed connect in the data centre
--- a/src/placement/choose_test.cpp
+++ b/src/placement/choose_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <tuple>
 
 using namespace tamarackweir;
 using namespace tamarackweir::placement;
@@ -164,3 +165,36 @@
   CHECK(choose(fleet, MakeDemand(1, 1000), kStart + 2s).mServer->mAnnounced.mId ==
         server_id("s-1"));
 }
+
+// Guards against a wait that counts as long by the engines of one deployment: on slow engines a
+// prefix would be prefilled again though the wait for its server is shorter, on fast ones callers
+// would wait for longer than the prefill takes.
+TEST_CASE("another server takes over a shared part once the wait exceeds the part's prefill")
+{
+  for (const auto& [msPerToken, waitMs, moves] :
+       { std::tuple{ 0.01, 40.0, false }, std::tuple{ 0.01, 200.0, true },
+         std::tuple{ 0.15, 500.0, false }, std::tuple{ 0.15, 1500.0, true } }) {
+    CAPTURE(msPerToken);
+    CAPTURE(waitMs);
+    const backends::fleet fleet = MakeFleet(9);
+    chooser choose;
+    demand demand = MakeDemand(1, 2);
+    demand.mPrefill = { .mBaseMs = 0, .mMsPerToken = msPerToken };
+    const auto home = choose(fleet, demand).mServer;
+    home->mPrefillMs = waitMs;
+    CHECK((choose(fleet, demand).mServer != home) == moves);
+  }
+}
+
+TEST_CASE("a request in flight counts as the time by which it delays another one")
+{
+  backends::fleet fleet = MakeFleet(2);
+  chooser choose;
+  demand demand = MakeDemand(0);
+  demand.mTurnMs = 100;
+  fleet.mServers.at(server_id("s-0"))->mInFlight = 2;
+  CHECK(choose(fleet, demand).mServer->mAnnounced.mId == server_id("s-1"));
+  CHECK(choose(fleet, demand).mWaitMs < 100);
+  fleet.mServers.at(server_id("s-1"))->mInFlight = 5;
+  CHECK(choose(fleet, demand).mWaitMs >= 200);
+}
