Keep what servers cache until there is no room to remember it

What callers saw: a session that paused for over 9 s could be sent to a server that had to prefill all of its prompt again. Cause: choice_options::mCacheLifetime, 9 s, followed the window in which the users price a part that is read again; engines evict when memory runs out, whatever the age. Change: an entry lasts until there are 50,000 of them; then the older half goes. An entry that is wrong costs nothing more, as the prompt is prefilled wherever it is sent. Test: "a prompt returns to the server that prefilled it, after a long pause too" (60 s); by reading, the code before takes any server then. "the estimate of caches is bounded, and keeps the newer prompts" bounds its memory.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -334,8 +334,7 @@
     message->content_length(message->body().size());
   }
   const attempt_history history = HistoryOf(aState, aCall);
-  placement::RecordPrefill(aState.mPrefixCaches, announced.mId, demand, aState.mOptions.mPlacement,
-                           sending);
+  placement::RecordPrefill(aState.mPrefixCaches, announced.mId, demand, sending);
   ++aCall.mRuns;
   aCall.mKeepsRunning = !history.mIsIdempotent;
   outcome.mExchange->Send(std::move(message));
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -37,17 +37,14 @@
 /// Tokens that the server has to prefill: all from the first part that is not in its cache.
 /// \param aIsHolder the server is assumed to cache the shared parts
 std::int64_t TokensToPrefill(const demand& aDemand, std::uint64_t aServer, bool aIsHolder,
-                             const prefix_caches& aCaches, const choice_options& aOptions,
-                             time_point aNow)
+                             const prefix_caches& aCaches)
 {
   std::int64_t tokens = 0;
   bool isHeld = true;
   for (const prompt_part& part : aDemand.mParts) {
     const bool isShared = &part != &aDemand.mParts.back();
     if (isHeld && !(aIsHolder && isShared)) {
-      const auto read =
-        aCaches.mPrefilledAt.find(PrefillKey(aServer, aDemand.mModelHash, part.mId));
-      isHeld = read != aCaches.mPrefilledAt.end() && aNow - read->second < aOptions.mCacheLifetime;
+      isHeld = aCaches.mPrefilledAt.contains(PrefillKey(aServer, aDemand.mModelHash, part.mId));
     }
     if (!isHeld) {
       tokens += part.mTokens;
@@ -155,6 +152,19 @@
   return count;
 }
 
+void RemoveOlderHalf(prefix_caches& aCaches)
+{
+  std::vector<time_point> times;
+  times.reserve(aCaches.mPrefilledAt.size());
+  for (const auto& [key, at] : aCaches.mPrefilledAt) {
+    times.push_back(at);
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  std::erase_if(aCaches.mPrefilledAt,
+                [median = *middle](const auto& aEntry) { return aEntry.second <= median; });
+}
+
 } // namespace
 
 choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prefix_caches& aCaches,
@@ -209,7 +219,7 @@
     candidate.mCostMs += jitter(aRandom);
     if (!aDemand.mParts.empty()) {
       candidate.mPrefillTokens =
-        TokensToPrefill(aDemand, candidate.mServerHash, isHolder(i), aCaches, aOptions, aNow);
+        TokensToPrefill(aDemand, candidate.mServerHash, isHolder(i), aCaches);
       candidate.mCostMs += PrefillWorkMs(aDemand, candidate) * aOptions.mPrefillWeight;
     }
   }
@@ -237,16 +247,14 @@
 }
 
 void RecordPrefill(prefix_caches& aCaches, const server_id& aServer, const demand& aDemand,
-                   const choice_options& aOptions, time_point aNow)
+                   time_point aNow)
 {
   const std::uint64_t server = StableHash(aServer.Value());
   for (const prompt_part& part : aDemand.mParts) {
     aCaches.mPrefilledAt[PrefillKey(server, aDemand.mModelHash, part.mId)] = aNow;
   }
   if (aCaches.mPrefilledAt.size() > aCaches.mMaxEntries) {
-    std::erase_if(aCaches.mPrefilledAt, [&](const auto& aEntry) {
-      return aNow - aEntry.second >= aOptions.mCacheLifetime;
-    });
+    RemoveOlderHalf(aCaches);
   }
 }
 
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -37,12 +37,13 @@
   std::function<bool(backends::backend_server&)> mAcquireColdSlot;
 };
 
-/// Estimate of the prefix caches of servers, from the prompts that this instance sent.
+/// Estimate of the prefix caches of servers, from the prompts that this instance sent. What a
+/// server has evicted is not known; sending a prompt there costs no more than sending it elsewhere.
 struct prefix_caches
 {
   /// When a server last processed a part, by a hash of server, model and part.
   std::unordered_map<std::uint64_t, time_point> mPrefilledAt;
-  std::size_t mMaxEntries = 50'000; ///< about 3 MB; above it expired entries are removed
+  std::size_t mMaxEntries = 50'000; ///< about 3 MB; above it the older half is removed
 };
 
 /// Weights of the choice.
@@ -54,7 +55,6 @@
   /// While the wait at a server exceeds the prefill of a shared part, and the servers' mean wait by
   /// this factor, the next server holds the part too.
   double mLongWaitFactor = 2;
-  duration mCacheLifetime = 9s;     ///< unused for longer, a shared part counts as evicted
   double mFailurePenaltyMs = 3000;  ///< penalty at a failure share of 1
   double mToleratedFailures = 0.2;  ///< failure share without a penalty
   double mUnreachedPenaltyMs = 500; ///< per failed connect in the data centre
@@ -96,6 +96,6 @@
 
 /// Records that the server processes the prompt now.
 void RecordPrefill(prefix_caches& aCaches, const server_id& aServer, const demand& aDemand,
-                   const choice_options& aOptions, time_point aNow);
+                   time_point aNow);
 
 } // namespace tamarackweir::placement
--- a/src/placement/choose_test.cpp
+++ b/src/placement/choose_test.cpp
@@ -198,3 +198,28 @@
   fleet.mServers.at(server_id("s-1"))->mInFlight = 5;
   CHECK(choose(fleet, demand).mWaitMs >= 200);
 }
+
+// Guards against forgetting what a server caches after a time that says nothing of its memory: a
+// session that pauses for a minute would be prefilled anew at another server.
+TEST_CASE("a prompt returns to the server that prefilled it, after a long pause too")
+{
+  const backends::fleet fleet = MakeFleet(9);
+  chooser choose;
+  demand first = MakeDemand(1, 2);
+  first.mParts.erase(first.mParts.begin());
+  const auto server = fleet.mServers.at(server_id("s-4"));
+  RecordPrefill(choose.mCaches, server->mAnnounced.mId, first, kStart);
+  CHECK(choose(fleet, first, kStart + 60s).mServer == server);
+}
+
+TEST_CASE("the estimate of caches is bounded, and keeps the newer prompts")
+{
+  prefix_caches caches{ .mMaxEntries = 100 };
+  for (std::uint64_t i = 1; i <= 1000; ++i) {
+    demand demand = MakeDemand(i, 5000 + i);
+    RecordPrefill(caches, server_id("s-1"), demand, kStart + std::chrono::milliseconds(i));
+    CHECK(caches.mPrefilledAt.size() <= 101);
+  }
+  CHECK(std::any_of(caches.mPrefilledAt.begin(), caches.mPrefilledAt.end(),
+                    [](const auto& aEntry) { return aEntry.second == kStart + 1000ms; }));
+}
--- a/src/placement/shared_load_test.cpp
+++ b/src/placement/shared_load_test.cpp
@@ -103,7 +103,7 @@
                       { .mId = random(), .mTokens = kOwnTokens } };
     const choice choice = Choose(fleets[instance], demand, caches[instance], options, random, now);
     REQUIRE(choice.mServer != nullptr);
-    RecordPrefill(caches[instance], choice.mServer->mAnnounced.mId, demand, options, now);
+    RecordPrefill(caches[instance], choice.mServer->mAnnounced.mId, demand, now);
 
     engine& engine = engines[choice.mServer->mAnnounced.mId];
     const auto isCached = [now, subject](const struct engine& aEngine) {
