--- a/src/placement/choose_test.cpp
+++ b/src/placement/choose_test.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <tuple>
 
 using namespace tamarackweir;
 using namespace tamarackweir::placement;
@@ -171,18 +170,24 @@
 // would wait for longer than the prefill takes.
 TEST_CASE("another server takes over a shared part once the wait exceeds the part's prefill")
 {
-  for (const auto& [msPerToken, waitMs, moves] :
-       { std::tuple{ 0.01, 40.0, false }, std::tuple{ 0.01, 200.0, true },
-         std::tuple{ 0.15, 500.0, false }, std::tuple{ 0.15, 1500.0, true } }) {
-    CAPTURE(msPerToken);
-    CAPTURE(waitMs);
+  struct engine_case
+  {
+    double mMsPerToken;
+    double mWaitMs;
+    bool mMoves;
+  };
+  for (const engine_case& one :
+       { engine_case{ 0.01, 40, false }, engine_case{ 0.01, 200, true },
+         engine_case{ 0.15, 500, false }, engine_case{ 0.15, 1500, true } }) {
+    CAPTURE(one.mMsPerToken);
+    CAPTURE(one.mWaitMs);
     const backends::fleet fleet = MakeFleet(9);
     chooser choose;
     demand demand = MakeDemand(1, 2);
-    demand.mPrefill = { .mBaseMs = 0, .mMsPerToken = msPerToken };
+    demand.mPrefill = { .mBaseMs = 0, .mMsPerToken = one.mMsPerToken };
     const auto home = choose(fleet, demand).mServer;
-    home->mPrefillMs = waitMs;
-    CHECK((choose(fleet, demand).mServer != home) == moves);
+    home->mPrefillMs = one.mWaitMs;
+    CHECK((choose(fleet, demand).mServer != home) == one.mMoves);
   }
 }
 
