Clear a server's waiting work once no prompt waits there

What callers saw: the speed of a server's engine was learned only until prompts had overlapped there once; later callers waited by an old estimate. Cause: the waiting prefill time is a sum of floating-point numbers, and what is left of 0.1 + 0.2 + 0.3 after the three are subtracted is 1.1e-16, which counted as a prompt ahead. Change: the sum is set to 0 when the last prompt has been processed. Test: "no work is left at a server once all its prompts are processed" failed without the change (1.11022e-16), passes with it.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -156,6 +156,9 @@
   mServer->mPrefillMs -= mPrefillMs;
   mPrefillMs = 0;
   std::erase(mServer->mPending, &mPending);
+  if (mServer->mPending.empty()) {
+    mServer->mPrefillMs = 0; // Rounding would leave a rest that looks like a waiting prompt.
+  }
 }
 
 net::task<bool> IsReachable(backends::server_pointer aServer, net::asio::any_io_executor aExecutor)
