Tell the expected wait at a server apart from the penalties for failures

Cause: the wait that MovesOn compares with the time left included penalties. Change: the choice tells the wait without them; they stay in the cost. Test: "failures make a server less wanted, and not its expected wait longer"; by reading it can't hold on, whose wait has the penalty.

--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -115,17 +115,26 @@
     wait += backends::PrefillMsAt(aServer, aNow);
   }
   wait += std::chrono::duration<double, std::milli>(backends::DelayOf(aServer, aNow)).count();
-  wait += std::max(0.0, backends::FailureShare(aServer, aNow) - aOptions.mToleratedFailures) *
-          aOptions.mFailurePenaltyMs;
-  if (aDemand.mUnreached != nullptr) {
-    wait += aOptions.mUnreachedPenaltyMs *
-            static_cast<double>(std::count(aDemand.mUnreached->begin(), aDemand.mUnreached->end(),
-                                           aServer.mAnnounced.mDataCentre));
-  }
   return wait +
          (aServer.mAnnounced.mDataCentre == aDemand.mDataCentre ? 0 : aOptions.mOtherDataCentreMs);
 }
 
+/// Cost of the server's recent failures, and of failed connects in its data centre.
+double PenaltyMs(const backends::backend_server& aServer, const demand& aDemand,
+                 const choice_options& aOptions, time_point aNow)
+{
+  double penalty =
+    std::max(0.0, backends::FailureShare(aServer, aNow) - aOptions.mToleratedFailures) *
+    aOptions.mFailurePenaltyMs;
+  if (aDemand.mUnreached != nullptr) {
+    penalty +=
+      aOptions.mUnreachedPenaltyMs *
+      static_cast<double>(std::count(aDemand.mUnreached->begin(), aDemand.mUnreached->end(),
+                                     aServer.mAnnounced.mDataCentre));
+  }
+  return penalty;
+}
+
 /// How many of the servers first in rendezvous order are assumed to cache the part. All instances
 /// know the same queues, so while one is long they all use the next server, which then caches it
 /// too.
@@ -193,8 +202,11 @@
     const std::uint64_t weight = Mix(shared, hash);
     InsertByWeight(holders, { .mWeight = weight, .mCandidate = candidates.size() });
     const double waitMs = WaitMs(*server, aDemand, aOptions, aNow);
-    candidates.push_back(scored_server{
-      .mServer = server, .mWaitMs = waitMs, .mCostMs = waitMs, .mServerHash = hash });
+    candidates.push_back(
+      scored_server{ .mServer = server,
+                     .mWaitMs = waitMs,
+                     .mCostMs = waitMs + PenaltyMs(*server, aDemand, aOptions, aNow),
+                     .mServerHash = hash });
   }
   result.mCandidateCount = candidates.size();
   if (candidates.empty()) {
--- a/src/placement/choose_test.cpp
+++ b/src/placement/choose_test.cpp
@@ -228,3 +228,18 @@
   CHECK(std::any_of(caches.mPrefilledAt.begin(), caches.mPrefilledAt.end(),
                     [](const auto& aEntry) { return aEntry.second == kStart + 1000ms; }));
 }
+
+// Guards against a request that stays with a dead server because the only other one has failed
+// recently: a penalty is no time that the caller has to wait.
+TEST_CASE("failures make a server less wanted, and not its expected wait longer")
+{
+  backends::fleet fleet = MakeFleet(1);
+  chooser choose;
+  backends::backend_server& server = *fleet.mServers.at(server_id("s-0"));
+  for (int i = 0; i < 20; ++i) {
+    backends::RecordEnd(server, backends::attempt_end::Failed, 0s, kStart);
+  }
+  const choice only = choose(fleet, MakeDemand(0));
+  CHECK(only.mCostMs > 1000);
+  CHECK(only.mWaitMs < 10);
+}
