Count callers' connections and requests by how they ended

Change: each connection has a phase, and its end a reason; accepted connections, and requests read and answered, add up with them. Not read by any decision.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -52,16 +52,87 @@
 
 } // namespace
 
-caller_connection::caller_connection(tcp::socket aSocket, const caller_limits& aLimits)
+const char* ToString(connection_phase aPhase)
+{
+  switch (aPhase) {
+    case connection_phase::Idle:
+      return "idle";
+    case connection_phase::Reading:
+      return "reading";
+    case connection_phase::Handling:
+      return "handling";
+    case connection_phase::Answering:
+      return "answering";
+  }
+  return "unknown";
+}
+
+const char* ToString(connection_end aEnd)
+{
+  switch (aEnd) {
+    case connection_end::Caller:
+      return "caller";
+    case connection_end::Timeout:
+      return "timeout";
+    case connection_end::Server:
+      return "server";
+    case connection_end::Stop:
+      return "stop";
+  }
+  return "unknown";
+}
+
+caller_connection::caller_connection(tcp::socket aSocket, const caller_limits& aLimits,
+                                     std::shared_ptr<connection_counts> aCounts)
   : mSocket(std::move(aSocket))
   , mWatchdog(mSocket)
   , mLimits(aLimits)
+  , mCounts(std::move(aCounts))
+{
+}
+
+connection_end caller_connection::EndOf(const error_code& aFailure) const
+{
+  if (mEnd) {
+    return *mEnd;
+  }
+  if (mWatchdog.HasExpired()) {
+    return connection_end::Timeout;
+  }
+  return aFailure ? connection_end::Caller : connection_end::Server;
+}
+
+void caller_connection::RecordFailure(const error_code& aFailure)
 {
+  if (aFailure) {
+    mEnd = EndOf(aFailure);
+  }
+}
+
+void caller_connection::CloseFor(connection_end aEnd)
+{
+  if (!mEnd) {
+    mEnd = mWatchdog.HasExpired() ? connection_end::Timeout : aEnd;
+  }
+  error_code ignoredAsClosedAnyway;
+  mSocket.close(ignoredAsClosedAnyway);
+}
+
+void caller_connection::EndAnswer(const error_code& aFailure)
+{
+  if (aFailure) {
+    mKeepAlive = false;
+    RecordFailure(aFailure);
+    return;
+  }
+  ++mCounts->mAnswered;
+  mPhase = connection_phase::Idle;
 }
 
 task<error_code> caller_connection::Answer(outbound_answer& aAnswer)
 {
   mHasRequest = false;
+  mPhase = connection_phase::Answering;
   aAnswer.version(11);
   aAnswer.keep_alive(mKeepAlive);
   if (mIsHead) {
@@ -77,14 +148,13 @@
   co_await http::async_write(mSocket, serializer,
                              asio::redirect_error(asio::use_awaitable, failure));
   mWatchdog.Disarm();
-  if (failure) {
-    mKeepAlive = false;
-  }
+  EndAnswer(failure);
   co_return failure;
 }
 
 task<error_code> caller_connection::StartBody(const http::response_header<>& aHeader)
 {
+  mPhase = connection_phase::Answering;
   http::response<http::empty_body> head{ aHeader };
   head.version(11);
   head.keep_alive(mKeepAlive);
@@ -97,6 +167,7 @@
   co_await http::async_write_header(mSocket, serializer,
                                     asio::redirect_error(asio::use_awaitable, failure));
   mWatchdog.Disarm();
+  RecordFailure(failure);
   co_return failure;
 }
 
@@ -107,6 +178,7 @@
   const auto chunk = http::make_chunk(asio::const_buffer(aBytes.data(), aBytes.size()));
   co_await asio::async_write(mSocket, chunk, asio::redirect_error(asio::use_awaitable, failure));
   mWatchdog.Disarm();
+  RecordFailure(failure);
   co_return failure;
 }
 
@@ -118,9 +190,7 @@
   const auto last = http::make_chunk_last();
   co_await asio::async_write(mSocket, last, asio::redirect_error(asio::use_awaitable, failure));
   mWatchdog.Disarm();
-  if (failure) {
-    mKeepAlive = false;
-  }
+  EndAnswer(failure);
   co_return failure;
 }
 
@@ -128,8 +198,7 @@
 {
   mHasRequest = false;
   mKeepAlive = false;
-  error_code ignoredAsClosedAnyway;
-  mSocket.close(ignoredAsClosedAnyway);
+  CloseFor(connection_end::Server);
 }
 
 void caller_connection::OnGone(std::function<void()> aAction)
@@ -147,6 +216,9 @@
   }
   mIsGone = true;
   mKeepAlive = false;
+  if (!mEnd) {
+    mEnd = connection_end::Caller;
+  }
   if (const auto action = std::exchange(mOnGone, nullptr)) {
     action();
   }
@@ -221,16 +293,16 @@
 
 std::size_t http_server::BusyConnections() const
 {
-  return static_cast<std::size_t>(
-    std::count_if(mConnections.begin(), mConnections.end(),
-                  [](const caller_connection* aConnection) { return !aConnection->mIsIdle; }));
+  return static_cast<std::size_t>(std::count_if(
+    mConnections.begin(), mConnections.end(), [](const caller_connection* aConnection) {
+      return aConnection->mPhase != connection_phase::Idle;
+    }));
 }
 
 void http_server::CloseAll()
 {
   for (caller_connection* connection : mConnections) {
-    error_code ignoredAsClosedAnyway;
-    connection->mSocket.close(ignoredAsClosedAnyway);
+    connection->CloseFor(connection_end::Stop);
   }
 }
 
@@ -248,7 +320,9 @@
       continue;
     }
     LimitSilence(socket, silence_limits{});
-    auto connection = std::make_shared<caller_connection>(std::move(socket), *mOptions.mLimits);
+    ++mCounts->mAccepted;
+    auto connection =
+      std::make_shared<caller_connection>(std::move(socket), *mOptions.mLimits, mCounts);
     Spawn(mAcceptor.get_executor(), "serve", Serve(std::move(connection)));
   }
 }
@@ -264,6 +338,8 @@
   aConnection->mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedAnyway);
   aConnection->mSocket.close(ignoredAsClosedAnyway);
   mConnections.erase(aConnection.get());
+  const connection_end end = aConnection->EndOf({});
+  ++mCounts->mEnded[static_cast<std::size_t>(aConnection->mPhase)][static_cast<std::size_t>(end)];
 }
 
 task<bool> http_server::ServeOne(std::shared_ptr<caller_connection> aConnection)
@@ -271,12 +347,14 @@
   caller_connection& connection = *aConnection;
   const caller_limits& limits = connection.mLimits;
   error_code failure;
-  connection.mIsIdle = connection.mBuffer.size() == 0;
-  if (connection.mIsIdle) {
+  const bool isIdle = connection.mBuffer.size() == 0;
+  connection.mPhase = isIdle ? connection_phase::Idle : connection_phase::Reading;
+  if (isIdle) {
     connection.mWatchdog.Arm(limits.mIdleTimeout);
     co_await connection.mSocket.async_wait(tcp::socket::wait_read,
                                            asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
+      connection.RecordFailure(failure);
       co_return false;
     }
   }
@@ -291,9 +369,12 @@
   co_await http::async_read_header(connection.mSocket, connection.mBuffer, parser,
                                    asio::redirect_error(asio::use_awaitable, failure));
   if (failure == http::error::end_of_stream || failure == asio::error::operation_aborted) {
+    connection.RecordFailure(failure);
     co_return false;
   }
-  connection.mIsIdle = false;
+  if (!failure || connection.mBuffer.size() > 0) {
+    connection.mPhase = connection_phase::Reading;
+  }
   if (failure == http::error::header_limit) {
     co_await Refuse(connection, protocol_refusal::HeaderTooLarge);
     co_return false;
@@ -301,6 +382,8 @@
   if (failure) {
     if (IsMalformed(failure)) {
       co_await Refuse(connection, protocol_refusal::BadRequest);
+    } else {
+      connection.RecordFailure(failure);
     }
     co_return false;
   }
@@ -341,6 +424,8 @@
     if (failure) {
       if (IsMalformed(failure)) {
         co_await Refuse(connection, protocol_refusal::BadRequest);
+      } else {
+        connection.RecordFailure(failure);
       }
       co_return false;
     }
@@ -351,6 +436,8 @@
   connection.mKeepAlive = keepAlive && !mDraining;
   connection.mIsHead = request->mMethod == "HEAD";
   connection.mHasRequest = true;
+  connection.mPhase = connection_phase::Handling;
+  ++mCounts->mRead;
   connection.mIsGone = false;
   connection.Watch();
   co_await mOptions.mHandler(aConnection, std::move(request));
@@ -367,6 +454,7 @@
   if (mOptions.mOnRefusal) {
     mOptions.mOnRefusal(aRefusal);
   }
+  ++mCounts->mRead;
   aConnection.mKeepAlive = false;
   outbound_answer answer{ StatusOf(aRefusal), 11 };
   answer.set(http::field::content_type, "application/problem+json");
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -4,12 +4,14 @@
 #include "net/loop.h"
 #include "net/watchdog.h"
 
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -39,11 +41,46 @@
 
 using outbound_answer = http::response<http::string_body>;
 
+/// What a caller's connection is doing.
+enum class connection_phase
+{
+  Idle,      ///< no byte of a request has been read
+  Reading,   ///< a request arrives
+  Handling,  ///< a request was read whole, and no answer has begun
+  Answering, ///< an answer is being written
+};
+inline constexpr std::size_t kConnectionPhases = 4;
+const char* ToString(connection_phase aPhase);
+
+/// Why a caller's connection ended.
+enum class connection_end
+{
+  Caller,  ///< the caller closed or reset it, or its machine went silent
+  Timeout, ///< a phase took longer than its limit
+  Server,  ///< closed here, in order or because the handler gave up
+  Stop,    ///< closed here at the end of the process
+};
+inline constexpr std::size_t kConnectionEnds = 4;
+const char* ToString(connection_end aEnd);
+
+/// Counts since the start. `mAccepted` is the sum of `mEnded` and the open connections; `mRead` is
+/// the sum of `mAnswered`, the requests that ended in the phases `Handling` and `Answering`, and
+/// those that are in them now.
+struct connection_counts
+{
+  std::uint64_t mAccepted = 0;
+  std::uint64_t mRead = 0;     ///< requests that were read whole, or refused while they were read
+  std::uint64_t mAnswered = 0; ///< of these, those whose answer was written whole
+  /// Ended connections, by the phase in which they were and by the reason.
+  std::array<std::array<std::uint64_t, kConnectionEnds>, kConnectionPhases> mEnded{};
+};
+
 /// The caller's side of a request, through which a handler answers it exactly once.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
-  caller_connection(tcp::socket aSocket, const caller_limits& aLimits);
+  caller_connection(tcp::socket aSocket, const caller_limits& aLimits,
+                    std::shared_ptr<connection_counts> aCounts);
 
   /// Sends a whole answer. `Content-Length` is set here. Returns the failure of the write, if any.
   task<error_code> Answer(outbound_answer& aAnswer);
@@ -69,6 +106,12 @@
 
   void Watch();
   void SetGone();
+  /// Closes the socket; the first reason stays.
+  void CloseFor(connection_end aEnd);
+  /// Why the connection ends after an operation that failed, or succeeded.
+  connection_end EndOf(const error_code& aFailure) const;
+  void RecordFailure(const error_code& aFailure);
+  void EndAnswer(const error_code& aFailure);
 
   tcp::socket mSocket;
   watchdog mWatchdog;
@@ -78,7 +121,9 @@
   bool mIsGone = false;
   bool mIsWatched = false;  ///< a wait for readability is pending
   bool mHasRequest = false; ///< a request was read and not answered yet
-  bool mIsIdle = true;      ///< no byte of a request has been read
+  connection_phase mPhase = connection_phase::Idle;
+  std::optional<connection_end> mEnd; ///< set once it is known
+  std::shared_ptr<connection_counts> mCounts;
   bool mKeepAlive = true;
   bool mIsHead = false;
   bool mIsChunked = false;
@@ -128,6 +173,7 @@
   std::size_t Connections() const { return mConnections.size(); }
   /// Connections with a request, or a part of one, that has no answer yet.
   std::size_t BusyConnections() const;
+  const connection_counts& Counts() const { return *mCounts; }
 
 private:
   task<> Accept();
@@ -138,6 +184,8 @@
   tcp::acceptor mAcceptor;
   http_server_options mOptions;
   std::unordered_set<caller_connection*> mConnections;
+  /// Shared with the connections, which may outlive the server.
+  std::shared_ptr<connection_counts> mCounts = std::make_shared<connection_counts>();
   bool mDraining = false;
 };
 
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -88,3 +88,52 @@
     Upload("GET / HTTP/1.1\r\nHost: h\r\nName: ", std::string(1024, 'x'));
   CHECK(upload.mAnswer.starts_with("HTTP/1.1 431 "));
 }
+
+// Guards against a lost request that no count shows.
+TEST_CASE("each connection and each request of a server is counted once, by how it ended")
+{
+  asio::io_context loop{ 1 };
+  const caller_limits limits;
+  http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                             .mLimits = &limits,
+                             .mHandler = [](std::shared_ptr<caller_connection> aCaller,
+                                            std::shared_ptr<inbound_request> aRequest) -> task<> {
+                               if (aRequest->mTarget == "/wait") {
+                                 co_await SleepFor(aCaller->Executor(), 50ms);
+                               }
+                               if (aRequest->mTarget == "/answer") {
+                                 outbound_answer answer{ http::status::ok, 11 };
+                                 co_await aCaller->Answer(answer);
+                               }
+                             } });
+  server.Start();
+  const std::string end = " HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::vector<std::string> sent{ "",
+                                       "GET /part",
+                                       "no request\r\n\r\n",
+                                       "GET /give-up" + end,
+                                       "GET /wait" + end,
+                                       "GET /answer" + end + "GET /answer" + end };
+  std::vector<tcp::socket> callers;
+  for (const std::string& bytes : sent) {
+    callers.emplace_back(loop).connect(server.Address());
+    asio::write(callers.back(), asio::buffer(bytes));
+  }
+  loop.run_for(20ms);
+  callers.clear();
+  loop.run_for(1s);
+
+  const connection_counts& counts = server.Counts();
+  const auto ended = [&counts](connection_phase aPhase, connection_end aEnd) {
+    return counts.mEnded.at(static_cast<std::size_t>(aPhase)).at(static_cast<std::size_t>(aEnd));
+  };
+  CHECK(server.Connections() == 0);
+  CHECK(counts.mAccepted == sent.size());
+  CHECK(counts.mRead == 5);
+  CHECK(counts.mAnswered == 3);
+  CHECK(ended(connection_phase::Idle, connection_end::Caller) == 2);
+  CHECK(ended(connection_phase::Idle, connection_end::Server) == 1);
+  CHECK(ended(connection_phase::Reading, connection_end::Caller) == 1);
+  CHECK(ended(connection_phase::Handling, connection_end::Server) == 1);
+  CHECK(ended(connection_phase::Handling, connection_end::Caller) == 1);
+}
