Let listeners bind ports that connections to servers have used

Callers saw: an instance that was started again ended with "Address already in use" and was away until TIME_WAIT was over, up to 60 s on Linux. Cause: the gateway opens a connection for each attempt and closes it first, so each leaves its local port in TIME_WAIT. Linux lets a listener bind such a port only if both sockets have SO_REUSEADDR, and the outgoing ones did not. Class: a resource that the process itself takes from its next start. Change: outgoing sockets set SO_REUSEADDR before they connect.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -25,6 +25,15 @@
 task<error_code> exchange::Connect(tcp::endpoint aServer, duration aLimit, silence_limits aSilence)
 {
   error_code failure;
+  mSocket.open(aServer.protocol(), failure);
+  if (!failure) {
+    // Otherwise the local port, which the system picks, can't be bound by a listener before the
+    // connection has left TIME_WAIT.
+    mSocket.set_option(tcp::socket::reuse_address(true), failure);
+  }
+  if (failure) {
+    co_return failure;
+  }
   watchdog guard(mSocket);
   guard.Arm(aLimit);
   co_await mSocket.async_connect(aServer, asio::redirect_error(asio::use_awaitable, failure));
