Bind addresses that are taken at a start later

Callers saw: an instance ended at its start with "Address already in use", and so did its next starts. Cause: one address that was taken, also that of metrics, load reports or peers, which no answer needs, ended the process at once. A taken address is often a passing state: somebody else's connection on that port, or its TIME_WAIT. Other errors of an address still end the start at once.

--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "gateway/crash_reports.h"
+#include "net/bind_retry.h"
 #include "observe/event_log.h"
 #include "quarantine/crash_message.h"
 
@@ -28,10 +29,37 @@
 
 void load_exchange::Start(const net::tcp::endpoint& aAddress)
 {
-  const datagram_endpoint address(aAddress.address(), aAddress.port());
-  mSocket.open(address.protocol());
-  mSocket.non_blocking(true);
-  mSocket.bind(address);
+  mAddress = { aAddress.address(), aAddress.port() };
+  if (const net::error_code failure = Bind(); failure && !net::MayBindLater(failure)) {
+    throw boost::system::system_error(failure, "bind " + net::ToString(aAddress));
+  }
+  net::Spawn(mLoop.get_executor(), "load_exchange", BindAndRun());
+}
+
+net::error_code load_exchange::Bind()
+{
+  net::error_code failure;
+  net::asio::ip::udp::socket socket(mLoop);
+  socket.open(mAddress.protocol(), failure);
+  if (!failure) {
+    socket.non_blocking(true, failure);
+  }
+  if (!failure) {
+    socket.bind(mAddress, failure);
+  }
+  if (!failure) {
+    mSocket = std::move(socket);
+  }
+  return failure;
+}
+
+net::task<> load_exchange::BindAndRun()
+{
+  if (!mSocket.is_open()) {
+    co_await net::BindLater(mLoop.get_executor(),
+                            net::ToString({ mAddress.address(), mAddress.port() }),
+                            [this] { return Bind(); });
+  }
   net::Spawn(mLoop.get_executor(), "load_listen", ReceiveDatagrams());
   net::Spawn(mLoop.get_executor(), "load_tell", SendReports());
 }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -25,11 +25,15 @@
 public:
   load_exchange(net::asio::io_context& aLoop, gateway_state& aState);
 
-  /// Binds the address and starts the exchange. Throws `boost::system::system_error`.
+  /// Binds the address and starts the exchange; later if the address is taken. Throws
+  /// `boost::system::system_error` if it can't be bound at all.
   void Start(const net::tcp::endpoint& aAddress);
 
-  /// The address that is bound; valid after `Start`.
-  datagram_endpoint Address() const { return mSocket.local_endpoint(); }
+  /// The address that is bound, or will be; valid after `Start`.
+  datagram_endpoint Address() const
+  {
+    return mSocket.is_open() ? mSocket.local_endpoint() : mAddress;
+  }
 
   /// Sets the addresses of the other instances.
   void SetPeers(std::map<std::string, datagram_endpoint> aPeers) { mPeers = std::move(aPeers); }
@@ -38,6 +42,8 @@
   static constexpr std::size_t kAggregators = 4; ///< a data centre with one and one more may fail
 
 private:
+  net::error_code Bind();
+  net::task<> BindAndRun();
   net::task<> SendReports();
   net::task<> ReceiveDatagrams();
   void HandleDatagram(std::string_view aBytes, const datagram_endpoint& aSender);
@@ -48,6 +54,7 @@
   net::asio::io_context& mLoop;
   gateway_state& mState;
   net::asio::ip::udp::socket mSocket;
+  datagram_endpoint mAddress;
   std::map<std::string, datagram_endpoint> mPeers;
   placement::load_board mBoard;
   std::size_t mRounds = 0;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -50,6 +50,7 @@
 {
   net::http_server_options options;
   options.mAddress = aAddress;
+  options.mBindsLater = true;
   options.mLimits = &mLimits;
   options.mHandler = [this](std::shared_ptr<net::caller_connection> aPeer,
                             std::shared_ptr<net::inbound_request> aRequest) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -266,10 +266,30 @@
   : mAcceptor(aLoop)
   , mOptions(std::move(aOptions))
 {
-  mAcceptor.open(mOptions.mAddress.protocol());
-  mAcceptor.set_option(tcp::acceptor::reuse_address(true));
-  mAcceptor.bind(mOptions.mAddress);
-  mAcceptor.listen(kListenBacklog);
+  if (const error_code failure = Bind();
+      failure && !(mOptions.mBindsLater && MayBindLater(failure))) {
+    throw boost::system::system_error(failure, "bind " + ToString(mOptions.mAddress));
+  }
+}
+
+error_code http_server::Bind()
+{
+  error_code failure;
+  tcp::acceptor acceptor(mAcceptor.get_executor());
+  acceptor.open(mOptions.mAddress.protocol(), failure);
+  if (!failure) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  }
+  if (!failure) {
+    acceptor.bind(mOptions.mAddress, failure);
+  }
+  if (!failure) {
+    acceptor.listen(kListenBacklog, failure);
+  }
+  if (!failure) {
+    mAcceptor = std::move(acceptor);
+  }
+  return failure;
 }
 
 void http_server::Start()
@@ -279,6 +299,7 @@
 
 void http_server::StopAccepting()
 {
+  mIsClosed = true;
   error_code ignoredAsClosedAnyway;
   mAcceptor.close(ignoredAsClosedAnyway);
 }
@@ -308,6 +329,10 @@
 
 task<> http_server::Accept()
 {
+  if (!IsBound()) {
+    co_await BindLater(mAcceptor.get_executor(), ToString(mOptions.mAddress),
+                       [this] { return mIsClosed ? asio::error::operation_aborted : Bind(); });
+  }
   while (mAcceptor.is_open()) {
     tcp::socket socket(mAcceptor.get_executor());
     error_code failure;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/bind_retry.h"
 #include "net/exchange.h"
 #include "net/loop.h"
 #include "net/watchdog.h"
@@ -148,6 +149,8 @@
   tcp::endpoint mAddress;
   const caller_limits* mLimits = nullptr; ///< read at each request; outlives the server
   request_handler mHandler;
+  /// An address that is taken, or not there yet, is bound once it can be, instead of a throw.
+  bool mBindsLater = false;
   /// Told of each request that the server refused by itself; may be empty.
   std::function<void(protocol_refusal)> mOnRefusal;
 };
@@ -156,7 +159,8 @@
 class http_server
 {
 public:
-  /// Binds the address. Throws `boost::system::system_error` when it is taken.
+  /// Binds the address. Throws `boost::system::system_error` if that fails, unless it is tried
+  /// again.
   http_server(asio::io_context& aLoop, http_server_options aOptions);
 
   void Start();
@@ -168,14 +172,20 @@
   /// Closes all connections.
   void CloseAll();
 
-  /// The address that is bound.
-  tcp::endpoint Address() const { return mAcceptor.local_endpoint(); }
+  /// Whether the address is bound, so that callers can connect.
+  bool IsBound() const { return mAcceptor.is_open(); }
+  /// The address that is bound, or will be.
+  tcp::endpoint Address() const
+  {
+    return IsBound() ? mAcceptor.local_endpoint() : mOptions.mAddress;
+  }
   std::size_t Connections() const { return mConnections.size(); }
   /// Connections with a request, or a part of one, that has no answer yet.
   std::size_t BusyConnections() const;
   const connection_counts& Counts() const { return *mCounts; }
 
 private:
+  error_code Bind();
   task<> Accept();
   task<> Serve(std::shared_ptr<caller_connection> aConnection);
   task<bool> ServeOne(std::shared_ptr<caller_connection> aConnection);
@@ -187,6 +197,7 @@
   /// Shared with the connections, which may outlive the server.
   std::shared_ptr<connection_counts> mCounts = std::make_shared<connection_counts>();
   bool mDraining = false;
+  bool mIsClosed = false; ///< accepts no connection any more
 };
 
 } // namespace tamarackweir::net
