Keep the event loop running when a callback throws

Callers saw: nothing yet; by reading, one exception in a callback outside a coroutine left the loop, and the process ended with all that it had accepted. Spawn caught only what derives from std::exception. Cause: neither the loop's runner nor Spawn bounded what one failing piece of work takes with it. Class: a fault that ends more than its own request. Change: net::Run logs such an exception and goes on; a hundred in a row, each within a second of the one before, end it with a reason. No input is known that makes a callback throw.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -8,6 +8,13 @@
 
 namespace tamarackweir::net {
 
+namespace {
+
+constexpr int kMaxFailures = 100; ///< in a row, each within the period after the one before
+constexpr duration kFailurePeriod = 1s;
+
+} // namespace
+
 time_point Now()
 {
   timespec value{};
@@ -34,10 +41,35 @@
       std::rethrow_exception(aFailure);
     } catch (const std::exception& failure) {
       observe::event_line("task_failed").Text("task", aName).Text("reason", failure.what()).Write();
+    } catch (...) {
+      observe::event_line("task_failed").Text("task", aName).Text("reason", "unknown").Write();
     }
   });
 }
 
+void Run(asio::io_context& aLoop)
+{
+  for (int failures = 1;; ++failures) {
+    const time_point began = Now();
+    std::string reason = "unknown";
+    try {
+      aLoop.run();
+      return;
+    } catch (const std::exception& failure) {
+      reason = failure.what();
+    } catch (...) { // NOLINT(bugprone-empty-catch): logged below
+    }
+    observe::event_line("callback_failed").Text("reason", reason).Write();
+    if (Now() - began > kFailurePeriod) {
+      failures = 1;
+    }
+    if (failures >= kMaxFailures) {
+      throw error(error_kind::Unknown, "callbacks fail again and again: " + reason,
+                  "look for 'callback_failed' in the log");
+    }
+  }
+}
+
 tcp::endpoint ParseEndpoint(const std::string& aText)
 {
   const auto colon = aText.rfind(':');
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -36,6 +36,10 @@
 /// Starts a coroutine that nobody waits for. An exception that leaves it is logged under `aName`.
 void Spawn(asio::any_io_executor aExecutor, const char* aName, task<> aTask);
 
+/// Runs the loop until it is stopped or has nothing to do. An exception that leaves a callback is
+/// logged, and the others go on. Throws `error` if that happens a hundred times in a row.
+void Run(asio::io_context& aLoop);
+
 /// Parses "IP:PORT". Throws `error` of kind `InvalidInput`.
 tcp::endpoint ParseEndpoint(const std::string& aText);
 
