--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -38,6 +38,8 @@
   std::optional<duration> mRefuseAfter;
   /// Share of a service's requests that an unproven version may get during its roll-out.
   double mExposureShare = rollout::schedule_options().mExposureBound;
+  /// From the acknowledgement that a server leaves until it may get no more requests.
+  duration mDrain = 2s;
   duration mStopGrace = 8s; ///< from the stop request to the end of the process
   /// Memory for all answers that are read whole before they are passed on, and for events that are
   /// incomplete; a further one is given up.
