Close idle callers when descriptors run short

Callers that kept their connections open could use up the descriptors of the process. New callers then got nothing until the idle timeout of others, and connections to servers failed with "too many open files".

Cause: a lack of descriptors was taken for a passing fault of accept and tried again every 20 ms, while idle connections, which HTTP allows to close at any time, kept theirs. Nothing was kept for outgoing sockets.

Now a failed accept or connect closes the connection that has been idle longest, and so does an accepted descriptor in the last quarter of the limit, which is kept for connections to servers. A connection with bytes of a request, read or waiting in the socket, is never taken for idle.

In one process without a free descriptor, a connect failed with "too many open files" (system:24); now it succeeds, and of three callers only the one that was idle longest is closed.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/exchange.h"
 
+#include "net/descriptors.h"
 #include "net/framing.h"
 
 #include <array>
@@ -26,6 +27,10 @@
 {
   error_code failure;
   mSocket.open(aServer.protocol(), failure);
+  if (IsShortOfDescriptors(failure) &&
+      descriptor_relief::Of(mSocket.get_executor()).Free("connect")) {
+    mSocket.open(aServer.protocol(), failure);
+  }
   if (!failure) {
     // Otherwise the local port, which the system picks, can't be bound by a listener before the
     // connection has left TIME_WAIT.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "net/descriptors.h"
 #include "net/framing.h"
 #include "observe/event_log.h"
 
@@ -26,7 +27,7 @@
 /// the answer before the reset.
 constexpr duration kLingerLimit = 500ms;
 
-constexpr duration kAcceptRetryDelay = 20ms; ///< after a lack of descriptors
+constexpr duration kAcceptRetryDelay = 20ms; ///< after a failure
 
 /// Whether the bytes were no request, as opposed to a connection that ended in the middle of one.
 bool IsMalformed(const error_code& aFailure)
@@ -127,6 +128,7 @@
   }
   ++mCounts->mAnswered;
   mPhase = connection_phase::Idle;
+  mIdleSince = Now();
 }
 
 task<error_code> caller_connection::Answer(outbound_answer& aAnswer)
@@ -270,6 +272,12 @@
       failure && !(mOptions.mBindsLater && MayBindLater(failure))) {
     throw boost::system::system_error(failure, "bind " + ToString(mOptions.mAddress));
   }
+  descriptor_relief::Of(mAcceptor.get_executor()).Add(this, [this] { return CloseLongestIdle(); });
+}
+
+http_server::~http_server()
+{
+  descriptor_relief::Of(mAcceptor.get_executor()).Remove(this);
 }
 
 error_code http_server::Bind()
@@ -327,8 +335,27 @@
   }
 }
 
+bool http_server::CloseLongestIdle()
+{
+  caller_connection* longest = nullptr;
+  for (caller_connection* connection : mConnections) {
+    error_code ignoredAsClosed;
+    if (connection->mPhase == connection_phase::Idle && connection->mSocket.is_open() &&
+        (longest == nullptr || connection->mIdleSince < longest->mIdleSince) &&
+        connection->mBuffer.size() == 0 && connection->mSocket.available(ignoredAsClosed) == 0) {
+      longest = connection;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  longest->CloseFor(connection_end::Server);
+  return true;
+}
+
 task<> http_server::Accept()
 {
+  descriptor_relief& relief = descriptor_relief::Of(mAcceptor.get_executor());
   if (!IsBound()) {
     co_await BindLater(mAcceptor.get_executor(), ToString(mOptions.mAddress),
                        [this] { return mIsClosed ? asio::error::operation_aborted : Bind(); });
@@ -338,12 +365,19 @@
     error_code failure;
     co_await mAcceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
-      if (mAcceptor.is_open()) {
+      if (IsShortOfDescriptors(failure)) {
+        if (!relief.Free("accept")) {
+          co_await SleepFor(mAcceptor.get_executor(), kAcceptRetryDelay);
+        }
+      } else if (mAcceptor.is_open()) {
         observe::event_line("accept_failed").Text("reason", failure.message()).Write();
         co_await SleepFor(mAcceptor.get_executor(), kAcceptRetryDelay);
       }
       continue;
     }
+    if (IsInReserve(socket.native_handle())) {
+      relief.Free("reserve");
+    }
     LimitSilence(socket, silence_limits{});
     ++mCounts->mAccepted;
     auto connection =
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -128,6 +128,7 @@
   bool mKeepAlive = true;
   bool mIsHead = false;
   bool mIsChunked = false;
+  time_point mIdleSince = Now(); ///< in the phase `Idle`: its begin
 };
 
 /// Answers one request.
@@ -163,6 +164,10 @@
   /// again.
   http_server(asio::io_context& aLoop, http_server_options aOptions);
 
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
   void Start();
   /// Ends the wait for new connections and closes the listening socket.
   void StopAccepting();
@@ -171,6 +176,9 @@
   void Drain();
   /// Closes all connections.
   void CloseAll();
+  /// Closes the connection that has waited longest for a request, and returns whether there was
+  /// one.
+  bool CloseLongestIdle();
 
   /// Whether the address is bound, so that callers can connect.
   bool IsBound() const { return mAcceptor.is_open(); }
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <cstring>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 using namespace tamarackweir;
 using namespace tamarackweir::net;
@@ -137,3 +140,40 @@
   CHECK(ended(connection_phase::Handling, connection_end::Server) == 1);
   CHECK(ended(connection_phase::Handling, connection_end::Caller) == 1);
 }
+
+TEST_CASE("a connection to a server gets the descriptor of the caller that was idle longest")
+{
+  asio::io_context loop{ 1 };
+  const caller_limits limits;
+  http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                             .mLimits = &limits,
+                             .mHandler = nullptr });
+  server.Start();
+  const tcp::acceptor backend(loop, { asio::ip::make_address("127.0.0.1"), 0 });
+  std::vector<tcp::socket> callers;
+  for (const char* const bytes : { "GET /part", "", "" }) {
+    callers.emplace_back(loop).connect(server.Address());
+    asio::write(callers.back(), asio::buffer(bytes, std::strlen(bytes)));
+    loop.run_for(20ms);
+  }
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  const int lowestFree = dup(STDIN_FILENO);
+  close(lowestFree);
+  const rlimit used{ .rlim_cur = static_cast<rlim_t>(lowestFree), .rlim_max = before.rlim_max };
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &used) == 0);
+  const auto outgoing = std::make_shared<exchange>(loop.get_executor());
+  error_code failure = asio::error::would_block;
+  asio::co_spawn(
+    loop, outgoing->Connect(backend.local_endpoint(), 1s, {}),
+    [&failure](const std::exception_ptr&, error_code aFailure) { failure = aFailure; });
+  loop.run_for(20ms);
+  setrlimit(RLIMIT_NOFILE, &before);
+  CHECK(failure == error_code{});
+  std::string seen;
+  for (tcp::socket& caller : callers) {
+    char byte = 0;
+    seen += recv(caller.native_handle(), &byte, 1, MSG_DONTWAIT) == 0 ? "closed " : "open ";
+  }
+  CHECK(seen == "open closed open ");
+}
