Guard the reading of answers that are cut at any byte

The gateway, its store and its peers read answers by the same code. A report of another operator says that a server which stopped in the middle of a head had its caller get a short answer as a whole one. Not reproduced here: 8 answers (length, chunks, trailer, interim, 204, 304, HEAD), cut at every byte and followed by an orderly close, a reset or silence, and 4 heads with lone line feeds. No fault, so no change of the code.

--- a/src/net/exchange_test.cpp
+++ b/src/net/exchange_test.cpp
@@ -185,3 +185,108 @@
   listener.bind(local, failure);
   CHECK_MESSAGE(!failure, failure.message());
 }
+
+namespace {
+
+/// How a server ends the connection behind the bytes of its answer.
+enum class answer_end
+{
+  Close, ///< in order
+  Reset,
+  Silence,
+};
+
+struct read_result
+{
+  error_code mFailure;
+  std::string mBody;
+};
+
+/// Reads an answer of which only `aBytes` come.
+read_result ReadCut(const std::string& aBytes, answer_end aEnd, http::verb aMethod)
+{
+  asio::io_context loop{ 1 };
+  tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  read_result result;
+  tcp::socket peer(loop);
+  acceptor.async_accept(peer, [&](const error_code&) {
+    asio::write(peer, asio::buffer(aBytes));
+    if (aEnd == answer_end::Silence) {
+      return;
+    }
+    // A close with unread bytes of the request would be a reset.
+    std::array<char, 256> request{};
+    peer.read_some(asio::buffer(request));
+    peer.set_option(tcp::socket::linger(aEnd == answer_end::Reset, 0));
+    peer.close();
+  });
+  Spawn(loop.get_executor(), "read",
+        [](asio::io_context& aLoop, tcp::endpoint aServer, http::verb aVerb, duration aLimit,
+           read_result& aResult) -> task<> {
+          const auto connection = std::make_shared<exchange>(aLoop.get_executor());
+          aResult.mFailure = co_await connection->Connect(aServer, 1s, silence_limits{});
+          connection->Send(std::make_shared<outbound_request>(aVerb, "/", 11));
+          aResult.mFailure = co_await connection->ReadHeader(aLimit);
+          if (!aResult.mFailure) {
+            aResult.mFailure = co_await connection->ReadAll(aResult.mBody, 1U << 16U, aLimit);
+          }
+          connection->Close();
+          aLoop.stop();
+        }(loop, acceptor.local_endpoint(), aMethod, aEnd == answer_end::Silence ? 10ms : 1000ms,
+                                 result));
+  loop.run_for(5s);
+  return result;
+}
+
+struct cut_answer
+{
+  std::string mName;
+  std::string mBytes;
+  std::string mBody;
+  http::verb mMethod = http::verb::get;
+};
+
+} // namespace
+
+// Guards against an answer that is taken for whole though its server stopped in the middle.
+TEST_CASE("an answer that is cut at any byte is no answer")
+{
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body(48, 'b');
+  const std::vector<cut_answer> answers{
+    { "length", "HTTP/1.1 200 OK\r\nContent-Length: 48\r\nX: y\r\n\r\n" + body, body },
+    { "length at the end", "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 48\r\n\r\n" + body, body },
+    { "chunks", chunked + "10\r\n" + std::string(16, 'c') + "\r\n02;a=b\r\ncc\r\n0\r\n\r\n",
+      std::string(18, 'c') },
+    { "trailer", chunked + "2\r\ncc\r\n0\r\nName: value\r\n\r\n", "cc" },
+    { "interim",
+      "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb", "b" },
+    { "no content", "HTTP/1.1 204 No Content\r\nName: value\r\n\r\n", "" },
+    { "not modified", "HTTP/1.1 304 Not Modified\r\nContent-Length: 48\r\n\r\n", "" },
+    { "head", "HTTP/1.1 200 OK\r\nContent-Length: 48\r\n\r\n", "", http::verb::head },
+  };
+  for (const cut_answer& answer : answers) {
+    for (const answer_end end : { answer_end::Close, answer_end::Reset, answer_end::Silence }) {
+      CAPTURE(answer.mName);
+      CAPTURE(static_cast<int>(end));
+      for (std::size_t size = 0; size < answer.mBytes.size(); ++size) {
+        CAPTURE(answer.mBytes.substr(0, size));
+        CHECK(ReadCut(answer.mBytes.substr(0, size), end, answer.mMethod).mFailure);
+      }
+    }
+    const read_result whole = ReadCut(answer.mBytes, answer_end::Close, answer.mMethod);
+    CHECK_FALSE(whole.mFailure);
+    CHECK(whole.mBody == answer.mBody);
+  }
+}
+
+TEST_CASE("a head without its empty line, or with lone line feeds, is no answer")
+{
+  const std::vector<std::string> heads{ "HTTP/1.1 200 OK\n\n", "HTTP/1.1 200 OK\nX: y\n\n",
+                                        "HTTP/1.1 200 OK\r\nX: y\n\r\n\r\n",
+                                        "HTTP/1.1 200 OK\r\nX: y\r\n\n" };
+  for (const std::string& head : heads) {
+    CAPTURE(head);
+    CHECK(ReadCut(head, answer_end::Close, http::verb::get).mFailure);
+  }
+}
