--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -38,8 +38,8 @@
   peer_exchange(net::asio::io_context& aLoop, gateway_state& aState, replica::table_set& aTables,
                 std::function<void(const replica::news_answer&)> aOnUpdate);
 
-  /// Binds the address for peers and starts to serve requests; later if the address is taken. Throws
-  /// `boost::system::system_error` if it can't be bound at all.
+  /// Binds the address for peers and starts to serve requests; later if the address is taken.
+  /// Throws `boost::system::system_error` if it can't be bound at all.
   void Listen(const net::tcp::endpoint& aAddress);
 
   /// The address that is bound, or will be; valid after `Listen`.
