Read the answers of services with the reader of the gateway

Callers saw: a part of a service's answer with status 200, as if it were whole. With an Idempotency-Key the part is stored as the outcome of the call (read in the code, not run). Cause: cpp-httplib 0.11.4 ends a body in chunks without an error when the connection closes between CR and LF behind a chunk's data. Class: the end of a connection taken for the end of a message. Change: plain calls read with net::exchange, where each cut counts as broken; the connection's limits of silence are the call's read timeout, as before. Streams stay with cpp-httplib, as they need the final [DONE]. The failure tests with processes were not run on this commit.

--- a/src/entry/engine_client.cpp
+++ b/src/entry/engine_client.cpp
@@ -1,6 +1,7 @@
 #include "entry/engine_client.h"
 
 #include "base/error.h"
+#include "net/exchange.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -40,6 +41,15 @@
   return body.is_object() && body.value("outcome", nlohmann::json()) == "not_run";
 }
 
+call_result ClassifyAnswer(int aStatus, const std::string& aBody)
+{
+  if (aStatus == kServiceUnavailable && SaysNotRun(aBody)) {
+    return { call_end::Refused, aStatus, aBody };
+  }
+  const bool succeeded = aStatus >= 200 && aStatus < 300;
+  return { succeeded ? call_end::Complete : call_end::Rejected, aStatus, aBody };
+}
+
 call_result Classify(const httplib::Result& aResult, const std::string& aBody)
 {
   if (!aResult) {
@@ -48,11 +58,53 @@
                          aResult.error() == httplib::Error::BindIPAddress;
     return { notSent ? call_end::NotSent : call_end::Broken, 0, "" };
   }
-  if (aResult->status == kServiceUnavailable && SaysNotRun(aBody)) {
-    return { call_end::Refused, aResult->status, aBody };
+  return ClassifyAnswer(aResult->status, aBody);
+}
+
+std::shared_ptr<const net::outbound_request> PlainRequest(const backend_call& aCall)
+{
+  auto request = std::make_shared<net::outbound_request>(net::http::verb::post, aCall.mPath, 11);
+  request->set(net::http::field::host, platform::ToString(aCall.mServer));
+  request->keep_alive(false);
+  for (const auto& [name, value] : aCall.mHeaders) {
+    request->set(name, value);
   }
-  const bool succeeded = aResult->status >= 200 && aResult->status < 300;
-  return { succeeded ? call_end::Complete : call_end::Rejected, aResult->status, aBody };
+  request->set(net::http::field::content_type, "application/json");
+  request->body() = aCall.mBody;
+  request->prepare_payload();
+  return request;
+}
+
+/// The limits of a connection that only the read timeout of the call ends.
+net::silence_limits SilenceLimits(const backend_call& aCall)
+{
+  using std::chrono::ceil;
+  return { .mKeepAliveIdleS =
+             static_cast<int>(ceil<std::chrono::seconds>(aCall.mReadTimeout).count()),
+           .mUnacknowledgedMs =
+             static_cast<int>(ceil<std::chrono::milliseconds>(aCall.mReadTimeout).count()) };
+}
+
+net::task<> CallOver(std::shared_ptr<net::exchange> aConnection, const backend_call& aCall,
+                     call_result& aResult)
+{
+  const net::tcp::endpoint server(net::asio::ip::make_address(aCall.mServer.mHost),
+                                  static_cast<std::uint16_t>(aCall.mServer.mPort));
+  net::error_code failure =
+    co_await aConnection->Connect(server, aCall.mConnectTimeout, SilenceLimits(aCall));
+  if (!failure) {
+    aResult.mEnd = call_end::Broken;
+    aConnection->Send(PlainRequest(aCall));
+    failure = co_await aConnection->ReadHeader(aCall.mReadTimeout);
+  }
+  std::string body;
+  while (!failure && !aConnection->IsComplete()) {
+    failure = co_await aConnection->ReadSome(body, aCall.mReadTimeout);
+  }
+  if (!failure) {
+    aResult = ClassifyAnswer(static_cast<int>(aConnection->Header().result_int()), body);
+  }
+  aConnection->Close();
 }
 
 } // namespace
@@ -122,9 +174,13 @@
 
 call_result CallPlain(const backend_call& aCall)
 {
-  httplib::Client client = Connect(aCall);
-  const httplib::Result result = client.send(MakeRequest(aCall));
-  return Classify(result, result ? result->body : "");
+  // cpp-httplib takes a body for whole that is cut within the line end of a chunk.
+  net::asio::io_context loop{ 1 };
+  call_result result;
+  net::Spawn(loop.get_executor(), "service_call",
+             CallOver(std::make_shared<net::exchange>(loop.get_executor()), aCall, result));
+  net::Run(loop);
+  return result;
 }
 
 } // namespace tamarackweir::entry
