Refuse fields that the parser can't store

Beast throws std::length_error for a field of 64 KiB or more. In a read of Beast the exception left a callback of the event loop, which destroyed the coroutine of the caller's connection: the caller got no answer, the counts no longer added up, and the server kept a pointer to a connection that was gone, which the next count, drain or stop read. In the read of an answer it ended the task that waited for the answer.

A trailer of 70,000 bytes did so with the default limits, a header of that size where the configuration allows more than 64 KiB.

The bytes are now handed to the parser within the coroutine, where the exception becomes the error `header_limit`: callers get 431, or 400 for a trailer as for other trailers that can't be read, and an answer with such a trailer is a broken answer.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "net/descriptors.h"
 #include "net/framing.h"
+#include "net/message_reader.h"
 
 #include <array>
 #include <boost/beast/http/error.hpp>
@@ -116,7 +117,7 @@
     const bool wasHeader = !mParser->is_header_done();
     mParser->get().body().data = chunk.data();
     mParser->get().body().size = chunk.size();
-    mBuffer.consume(mParser->put(mBuffer.data(), failure));
+    mBuffer.consume(Put(*mParser, mBuffer.data(), failure));
     aOut.append(chunk.data(), chunk.size() - mParser->get().body().size);
     if (failure == http::error::need_buffer) {
       failure = {};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/descriptors.h"
 #include "net/framing.h"
+#include "net/message_reader.h"
 #include "observe/event_log.h"
 
 #include <algorithm>
@@ -9,7 +10,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sys/socket.h>
@@ -425,8 +426,8 @@
   parser.body_limit(limits.mMaxBodyBytes);
   const time_point arrived = Now();
   connection.mWatchdog.Arm(limits.mHeaderTimeout);
-  co_await http::async_read_header(connection.mSocket, connection.mBuffer, parser,
-                                   asio::redirect_error(asio::use_awaitable, failure));
+  failure =
+    co_await ReadMessage(connection.mSocket, connection.mBuffer, parser, message_part::Header);
   if (failure == http::error::end_of_stream || failure == asio::error::operation_aborted) {
     connection.RecordFailure(failure);
     co_return false;
@@ -473,8 +474,8 @@
                                  asio::redirect_error(asio::use_awaitable, failure));
     }
     if (!failure) {
-      co_await http::async_read(connection.mSocket, connection.mBuffer, parser,
-                                asio::redirect_error(asio::use_awaitable, failure));
+      failure =
+        co_await ReadMessage(connection.mSocket, connection.mBuffer, parser, message_part::Whole);
     }
     if (failure == http::error::body_limit) {
       co_await Refuse(connection, protocol_refusal::BodyTooLarge);
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <doctest/doctest.h>
 #include <sys/resource.h>
+#include <tuple>
 #include <unistd.h>
 
 using namespace tamarackweir;
@@ -177,3 +178,29 @@
   }
   CHECK(seen == "open closed open ");
 }
+
+TEST_CASE("a request with a field that is too long to be stored is refused, and counted once")
+{
+  const std::string field = "Name: " + std::string(70000, 'x') + "\r\n\r\n";
+  const std::string begin = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string inTrailer = begin + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + field;
+  for (const auto& [limits, sent, expected] :
+       { std::tuple(caller_limits{ .mMaxHeaderBytes = 128 * 1024 }, begin + field, "HTTP/1.1 431 "),
+         std::tuple(caller_limits{}, inTrailer, "HTTP/1.1 400 ") }) {
+    CAPTURE(expected);
+    asio::io_context loop{ 1 };
+    http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                               .mLimits = &limits,
+                               .mHandler = nullptr });
+    server.Start();
+    const auto socket = std::make_shared<tcp::socket>(loop);
+    socket->connect(server.Address());
+    endless_upload upload;
+    Spawn(loop.get_executor(), "receive", Receive(socket, upload));
+    asio::async_write(*socket, asio::buffer(sent), [](error_code, std::size_t) {});
+    CHECK_NOTHROW(loop.run_for(1s));
+    CHECK(upload.mAnswer.starts_with(expected));
+    CHECK(server.Counts().mAnswered == 1);
+    CHECK(server.Connections() == 0);
+  }
+}
