Let callers and servers read slowly without a reset

Callers saw a reset in the middle of an answer when they paused for longer than 2.5 s before they read the rest, though they were inside their deadline. Requests whose server was late to read a long body broke as well, after the same time.

Cause (wrong measure of liveness): TCP_USER_TIMEOUT was set on both kinds of connections to notice dead machines, but it also counts the time in which a live peer has closed its window.

Change: silence_watch looks at TCP_INFO while sent bytes are unacknowledged. It closes the connection when the peer has not answered the last transmission or window probe for 2.5 s. A caller's write may take until the caller's deadline (at least 10 s, at most 300 s), which the handler tells the connection.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -521,6 +521,7 @@
   current.mDeadline =
     arrived + std::min(current.mRoute->mTimeout,
                        current.mHeader.mTimeLeft.value_or(current.mRoute->mTimeout));
+  current.mCaller->SetTimeLeft(current.mHeader.mTimeLeft.value_or(current.mRoute->mTimeout));
   if (const duration left = aState.mStopsAt - arrived;
       aState.mIsStopping && !IsAcceptedWhileStopping(current.mDeadline - arrived, left)) {
     const refusal stopping{ .mTitle = "this instance stops", .mRetryAfter = kStopRetryAfter };
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -3,6 +3,7 @@
 #include "net/descriptors.h"
 #include "net/framing.h"
 #include "net/message_reader.h"
+#include "net/watchdog.h"
 
 #include <array>
 #include <boost/beast/http/error.hpp>
@@ -20,6 +21,7 @@
 
 exchange::exchange(const asio::any_io_executor& aExecutor)
   : mSocket(aExecutor)
+  , mSilenceWatch(mSocket, silence_limits{}.mUnacknowledged)
   , mTimer(aExecutor)
 {
 }
@@ -48,6 +50,7 @@
   }
   if (!failure) {
     LimitSilence(mSocket, aSilence);
+    mSilenceWatch.SetLimit(aSilence.mUnacknowledged);
     mSocket.non_blocking(true, failure);
   }
   co_return failure;
@@ -56,6 +59,7 @@
 void exchange::Send(std::shared_ptr<const outbound_request> aRequest)
 {
   mIsHead = aRequest->method() == http::verb::head;
+  mSilenceWatch.Start();
   // A failed write also fails the read that is pending, or leaves an answer to be read.
   const outbound_request& request = *aRequest;
   http::async_write(
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -2,7 +2,7 @@
 
 #include "net/byte_budget.h"
 #include "net/loop.h"
-#include "net/watchdog.h"
+#include "net/silence.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -73,6 +73,7 @@
   error_code Parse(std::string& aOut);
 
   tcp::socket mSocket;
+  silence_watch mSilenceWatch;
   asio::steady_timer mTimer;
   beast::flat_buffer mBuffer;
   bool mIsWaiting = false;  ///< a wait for readability is pending
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -88,6 +88,7 @@
                                      std::shared_ptr<connection_counts> aCounts)
   : mSocket(std::move(aSocket))
   , mWatchdog(mSocket)
+  , mSilenceWatch(mSocket, silence_limits{}.mUnacknowledged)
   , mLimits(aLimits)
   , mCounts(std::move(aCounts))
 {
@@ -120,6 +121,18 @@
   mSocket.close(ignoredAsClosedAnyway);
 }
 
+void caller_connection::SetTimeLeft(duration aTimeLeft)
+{
+  mDeadline = Now() + std::clamp(aTimeLeft, duration::zero(), mLimits.mMaxWriteTimeout);
+}
+
+void caller_connection::StartWrite()
+{
+  const duration left = mDeadline ? *mDeadline - Now() : duration::zero();
+  mWatchdog.Arm(std::max(mLimits.mWriteTimeout, left));
+  mSilenceWatch.Start();
+}
+
 void caller_connection::EndAnswer(const error_code& aFailure)
 {
   if (aFailure) {
@@ -145,7 +158,7 @@
     aAnswer.prepare_payload();
   }
   error_code failure;
-  mWatchdog.Arm(mLimits.mWriteTimeout);
+  StartWrite();
   http::response_serializer<http::string_body> serializer(aAnswer);
   serializer.split(false);
   co_await http::async_write(mSocket, serializer,
@@ -165,7 +178,7 @@
   mIsChunked = true;
   head.chunked(true);
   error_code failure;
-  mWatchdog.Arm(mLimits.mWriteTimeout);
+  StartWrite();
   http::response_serializer<http::empty_body> serializer(head);
   co_await http::async_write_header(mSocket, serializer,
                                     asio::redirect_error(asio::use_awaitable, failure));
@@ -177,7 +190,7 @@
 task<error_code> caller_connection::WriteBody(std::string_view aBytes)
 {
   error_code failure;
-  mWatchdog.Arm(mLimits.mWriteTimeout);
+  StartWrite();
   const auto chunk = http::make_chunk(asio::const_buffer(aBytes.data(), aBytes.size()));
   co_await asio::async_write(mSocket, chunk, asio::redirect_error(asio::use_awaitable, failure));
   mWatchdog.Disarm();
@@ -189,7 +202,7 @@
 {
   mHasRequest = false;
   error_code failure;
-  mWatchdog.Arm(mLimits.mWriteTimeout);
+  StartWrite();
   const auto last = http::make_chunk_last();
   co_await asio::async_write(mSocket, last, asio::redirect_error(asio::use_awaitable, failure));
   mWatchdog.Disarm();
@@ -499,6 +512,7 @@
   connection.mPhase = connection_phase::Handling;
   ++mCounts->mRead;
   connection.mIsGone = false;
+  connection.mDeadline.reset();
   connection.Watch();
   co_await mOptions.mHandler(aConnection, std::move(request));
   connection.mOnGone = nullptr;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -3,6 +3,7 @@
 #include "net/bind_retry.h"
 #include "net/exchange.h"
 #include "net/loop.h"
+#include "net/silence.h"
 #include "net/watchdog.h"
 
 #include <array>
@@ -27,7 +28,8 @@
   duration mHeaderTimeout = 5s;              ///< from the first byte of a header to its last
   duration mBodyTimeout = 30s;               ///< from the end of the header to the end of the body
   duration mIdleTimeout = 30s;               ///< between requests
-  duration mWriteTimeout = 10s;              ///< a caller that does not read is dropped after it
+  duration mWriteTimeout = 10s;              ///< for a write whose caller's deadline is nearer
+  duration mMaxWriteTimeout = 300s;          ///< for a write whose caller's deadline is later
 };
 
 /// A request that was read whole. Trailers of a chunked body are left out.
@@ -95,6 +97,9 @@
   /// Closes the connection so that a started answer does not look complete.
   void Break();
 
+  /// Until when the caller waits for its answer, and may be slow to read it.
+  void SetTimeLeft(duration aTimeLeft);
+
   /// Whether the caller has closed the connection while its request was under way.
   bool IsGone() const { return mIsGone; }
   /// Calls `aAction` once when the caller closes the connection.
@@ -112,12 +117,15 @@
   /// Why the connection ends after an operation that failed, or succeeded.
   connection_end EndOf(const error_code& aFailure) const;
   void RecordFailure(const error_code& aFailure);
+  void StartWrite();
   void EndAnswer(const error_code& aFailure);
 
   tcp::socket mSocket;
   watchdog mWatchdog;
+  silence_watch mSilenceWatch;
   beast::flat_buffer mBuffer;
   const caller_limits& mLimits;
+  std::optional<time_point> mDeadline; ///< of the request
   std::function<void()> mOnGone;
   bool mIsGone = false;
   bool mIsWatched = false;  ///< a wait for readability is pending
--- a/src/net/watchdog.cpp
+++ b/src/net/watchdog.cpp
@@ -1,12 +1,6 @@
 #include "net/watchdog.h"
 
-#include "observe/event_log.h"
-
-#include <cerrno>
-#include <cstring>
-#include <netinet/tcp.h>
 #include <optional>
-#include <sys/socket.h>
 
 namespace tamarackweir::net {
 
@@ -77,23 +71,4 @@
   });
 }
 
-void LimitSilence(tcp::socket& aSocket, const silence_limits& aLimits)
-{
-  const int on = 1;
-  const auto set = [&aSocket](int aLevel, int aOption, int aValue) {
-    if (setsockopt(aSocket.native_handle(), aLevel, aOption, &aValue, sizeof aValue) != 0) {
-      observe::event_line("socket_option_failed")
-        .Number("option", aOption)
-        .Text("reason", std::strerror(errno))
-        .Write();
-    }
-  };
-  set(IPPROTO_TCP, TCP_NODELAY, on);
-  set(SOL_SOCKET, SO_KEEPALIVE, on);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, aLimits.mKeepAliveIdleS);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, aLimits.mKeepAliveIntervalS);
-  set(IPPROTO_TCP, TCP_KEEPCNT, aLimits.mKeepAliveProbes);
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, aLimits.mUnacknowledgedMs);
-}
-
 } // namespace tamarackweir::net
--- a/src/net/watchdog.h
+++ b/src/net/watchdog.h
@@ -30,17 +30,4 @@
   std::shared_ptr<state> mState;
 };
 
-/// Bounds on the silence of a peer's machine, as TCP sees it. They show a machine without power or
-/// behind a partition, which sends nothing and resets nothing.
-struct silence_limits
-{
-  int mKeepAliveIdleS = 1;      ///< quiet seconds before the first probe; the smallest TCP allows
-  int mKeepAliveIntervalS = 1;  ///< seconds between probes
-  int mKeepAliveProbes = 2;     ///< unanswered probes that end the connection
-  int mUnacknowledgedMs = 2500; ///< age of unacknowledged bytes that ends the connection
-};
-
-/// Sets `TCP_NODELAY` and the limits on a connected socket. An option that can't be set is logged.
-void LimitSilence(tcp::socket& aSocket, const silence_limits& aLimits);
-
 } // namespace tamarackweir::net
