Answer a request whose handler throws, and forget its connection

A caller whose handler threw got neither an answer nor the end of its connection, and the connection stayed in the server's table: it counted as busy at the next stop, and its pointer dangled.

Cause (cleanup that an exception skips): the exception left http_server::Serve before the connection was erased.

Evidence: the new test failed on: no answer, no end, and BusyConnections() and Connections() were 2 instead of 0.

Change: the handler's exception is logged as handler_failed. The caller gets 500 if no answer had begun; otherwise the connection breaks. Any other exception is logged as serve_failed, and the connection ends as usual.

Measured: the test passes; 500 before an answer, a broken answer after its start, no connection left.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -52,6 +52,28 @@
   return http::status::bad_request;
 }
 
+outbound_answer ProblemAnswer(http::status aStatus, const std::string& aOutcome)
+{
+  outbound_answer answer{ aStatus, 11 };
+  answer.set(http::field::content_type, "application/problem+json");
+  answer.body() = "{\"title\":\"" + std::string(http::obsolete_reason(aStatus)) +
+                  "\",\"outcome\":\"" + aOutcome + "\"}";
+  return answer;
+}
+
+/// Runs a task. Returns what it threw, if it did.
+task<std::optional<std::string>> FailureOf(task<> aTask)
+{
+  try {
+    co_await std::move(aTask);
+  } catch (const std::exception& failure) {
+    co_return failure.what();
+  } catch (...) {
+    co_return "unknown";
+  }
+  co_return std::nullopt;
+}
+
 } // namespace
 
 const char* ToString(connection_phase aPhase)
@@ -403,9 +425,8 @@
 task<> http_server::Serve(std::shared_ptr<caller_connection> aConnection)
 {
   mConnections.insert(aConnection.get());
-  bool isOpen = true;
-  while (isOpen) {
-    isOpen = co_await ServeOne(aConnection);
+  if (const auto reason = co_await FailureOf(ServeAll(aConnection))) {
+    observe::event_line("serve_failed").Text("reason", *reason).Write();
   }
   error_code ignoredAsClosedAnyway;
   aConnection->mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedAnyway);
@@ -415,6 +436,14 @@
   ++mCounts->mEnded[static_cast<std::size_t>(aConnection->mPhase)][static_cast<std::size_t>(end)];
 }
 
+task<> http_server::ServeAll(std::shared_ptr<caller_connection> aConnection)
+{
+  bool isOpen = true;
+  while (isOpen) {
+    isOpen = co_await ServeOne(aConnection);
+  }
+}
+
 task<bool> http_server::ServeOne(std::shared_ptr<caller_connection> aConnection)
 {
   caller_connection& connection = *aConnection;
@@ -514,9 +543,16 @@
   connection.mIsGone = false;
   connection.mDeadline.reset();
   connection.Watch();
-  co_await mOptions.mHandler(aConnection, std::move(request));
+  const auto thrown = co_await FailureOf(mOptions.mHandler(aConnection, std::move(request)));
   connection.mOnGone = nullptr;
-  if (connection.mHasRequest) {
+  if (thrown) {
+    observe::event_line("handler_failed").Text("reason", *thrown).Write();
+    connection.mKeepAlive = false;
+  }
+  if (thrown && connection.mPhase == connection_phase::Handling) {
+    outbound_answer answer = ProblemAnswer(http::status::internal_server_error, "unknown");
+    (void)co_await connection.Answer(answer);
+  } else if (connection.mHasRequest || connection.mPhase == connection_phase::Answering) {
     // The handler gave up without an answer.
     connection.Break();
   }
@@ -530,10 +566,7 @@
   }
   ++mCounts->mRead;
   aConnection.mKeepAlive = false;
-  outbound_answer answer{ StatusOf(aRefusal), 11 };
-  answer.set(http::field::content_type, "application/problem+json");
-  answer.body() = "{\"title\":\"" + std::string(http::obsolete_reason(answer.result())) +
-                  "\",\"outcome\":\"not_run\"}";
+  outbound_answer answer = ProblemAnswer(StatusOf(aRefusal), "not_run");
   if (co_await aConnection.Answer(answer)) {
     co_return;
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -139,7 +139,7 @@
   time_point mIdleSince = Now(); ///< in the phase `Idle`: its begin
 };
 
-/// Answers one request.
+/// Answers one request. If it throws before the answer has begun, the caller gets 500.
 using request_handler =
   std::function<task<>(std::shared_ptr<caller_connection>, std::shared_ptr<inbound_request>)>;
 
@@ -204,6 +204,7 @@
   error_code Bind();
   task<> Accept();
   task<> Serve(std::shared_ptr<caller_connection> aConnection);
+  task<> ServeAll(std::shared_ptr<caller_connection> aConnection);
   task<bool> ServeOne(std::shared_ptr<caller_connection> aConnection);
   task<> Refuse(caller_connection& aConnection, protocol_refusal aRefusal);
 
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -204,3 +204,37 @@
     CHECK(server.Connections() == 0);
   }
 }
+
+// Guards against a connection that stays in the server's table after its end.
+TEST_CASE("a request whose handler throws is answered, and its connection is forgotten")
+{
+  asio::io_context loop{ 1 };
+  const caller_limits limits;
+  http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                             .mLimits = &limits,
+                             .mHandler = [](std::shared_ptr<caller_connection> aCaller,
+                                            std::shared_ptr<inbound_request> aRequest) -> task<> {
+                               if (aRequest->mTarget == "/begun") {
+                                 co_await aCaller->StartBody({});
+                               }
+                               throw 1;
+                             } });
+  server.Start();
+  for (const std::string target : { "/", "/begun" }) {
+    CAPTURE(target);
+    const auto socket = std::make_shared<tcp::socket>(loop);
+    socket->connect(server.Address());
+    asio::write(*socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+    endless_upload seen;
+    Spawn(loop.get_executor(), "receive", Receive(socket, seen));
+    loop.run_for(200ms);
+    CHECK(seen.mIsDone);
+    CHECK(seen.mAnswer.starts_with(target == "/" ? "HTTP/1.1 500 " : "HTTP/1.1 200 "));
+    CHECK_FALSE(seen.mAnswer.ends_with("0\r\n\r\n"));
+  }
+  loop.run_for(1s);
+  server.Drain();
+  CHECK(server.BusyConnections() == 0);
+  CHECK(server.Connections() == 0);
+  server.CloseAll();
+}
