Answer requests that are under way when a stop's grace ends

Cause: the end of the grace closed all connections and left the calls to the end of the process. Class: a stop without a stage in which what was accepted is answered. Evidence: with a gateway as a process, a grace of 4 s and a server that stays silent, an unsafe, a safe and a streamed request sent before SIGTERM ended with status 0 each, 3 of 3. Change: `mStopsAt` is now the end of all sending to servers, in a calm stop too. Attempts are closed there, so that servers stop working, and each call is answered: 503 if it did not run, 504 otherwise; streams that have begun break off. Nothing is retried, and no break is taken for a crash of the server.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -19,6 +19,7 @@
 constexpr duration kStartRetryAfter = 200ms; ///< an instance reads its configuration in less
 /// Retries reach other instances, which are not stopped at the same time.
 constexpr duration kStopRetryAfter = 20ms;
+constexpr const char* kStopTitle = "this instance stops";
 constexpr std::size_t kMaxAnswerBytes = 1U << 24U; ///< of an answer that is buffered
 
 /// A random number, uniform in [0, 1).
@@ -27,6 +28,12 @@
   return std::uniform_real_distribution<double>()(aState.mRandom);
 }
 
+/// Whether nothing is sent to servers any more, since the process ends.
+bool IsEnding(const gateway_state& aState)
+{
+  return aState.mIsStopping && net::Now() >= aState.mStopsAt;
+}
+
 double PointOf(std::uint64_t aHash)
 {
   return static_cast<double>(aHash >> 11U) * 0x1.0p-53;
@@ -206,6 +213,10 @@
 refusal RefusalOf(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
                   attempt_result aResult)
 {
+  if (IsEnding(aState)) {
+    return aCall.mRuns > 0 ? refusal{ .mStatus = 504, .mTitle = kStopTitle, .mNotRun = false }
+                           : refusal{ .mTitle = kStopTitle, .mRetryAfter = kStopRetryAfter };
+  }
   const time_point now = net::Now();
   const retry_outlook outlook{ .mTimeLeft = aCall.mDeadline - now,
                                .mAnswerTime = HistoryOf(aState, aCall).mExpected,
@@ -215,7 +226,7 @@
 
 bool ConsumeRetry(gateway_state& aState, const call& aCall, attempt_result aResult)
 {
-  return !aCall.mCaller->IsGone() && !IsQuarantined(aState, aCall) &&
+  return !aCall.mCaller->IsGone() && !IsEnding(aState) && !IsQuarantined(aState, aCall) &&
          MayRetry(aResult, HistoryOf(aState, aCall), BudgetOf(aState, aCall.mService), net::Now());
 }
 
@@ -249,6 +260,9 @@
 {
   const time_point now = net::Now();
   attempt_outcome outcome;
+  if (IsEnding(aState)) {
+    co_return outcome;
+  }
   const auto service = aCall.mRoutes->mServices.find(aCall.mService);
   const double coldRate = service == aCall.mRoutes->mServices.end() ? 0 : service->second.mColdRate;
   const backends::cold_share coldShare{ .mSelf = aState.mSelf.mId.Value(),
@@ -299,8 +313,9 @@
   }
 
   const time_point sending = net::Now();
-  if (!backends::TakesRequests(outcome.mAttempt->Server(), sending)) {
-    // Another answer of the server arrived while the connection was being opened.
+  if (IsEnding(aState) || !backends::TakesRequests(outcome.mAttempt->Server(), sending)) {
+    // The stop ended, or another answer of the server arrived, while the connection was being
+    // opened.
     ++aCall.mNotSent;
     co_return outcome;
   }
@@ -484,6 +499,16 @@
   LogEnd(aState, aCall, aRefusal.mStatus, aRefusal.mTitle);
 }
 
+void EndOpenCalls(gateway_state& aState)
+{
+  for (call* const open : *aState.mOpenCalls) {
+    open->mIsWithdrawn = true;
+    if (open->mExchange != nullptr) {
+      open->mExchange->Close();
+    }
+  }
+}
+
 net::task<> HandleCall(gateway_state& aState, std::shared_ptr<net::caller_connection> aCaller,
                        std::shared_ptr<net::inbound_request> aRequest)
 {
@@ -524,7 +549,7 @@
   current.mCaller->SetTimeLeft(current.mHeader.mTimeLeft.value_or(current.mRoute->mTimeout));
   if (const duration left = aState.mStopsAt - arrived;
       aState.mIsStopping && !IsAcceptedWhileStopping(current.mDeadline - arrived, left)) {
-    const refusal stopping{ .mTitle = "this instance stops", .mRetryAfter = kStopRetryAfter };
+    const refusal stopping{ .mTitle = kStopTitle, .mRetryAfter = kStopRetryAfter };
     co_await Refuse(aState, current, stopping);
     co_return;
   }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -38,8 +38,8 @@
   std::shared_ptr<net::exchange> mExchange; ///< of the current attempt
   std::optional<time_point> mAnswerBegan;   ///< when the current attempt's answer began to arrive
   bool mKeepsRunning = false;               ///< the attempt continues if the caller disconnects
-  bool mIsWithdrawn = false;                ///< closed here because it was quarantined
-  int mCrashes = 0; ///< servers that crashed just after they had begun to answer
+  bool mIsWithdrawn = false; ///< closed here: it was quarantined, or the instance stops
+  int mCrashes = 0;          ///< servers that crashed just after they had begun to answer
 };
 
 /// One attempt at a backend server. Counts towards the server's load until it is destroyed.
@@ -80,6 +80,10 @@
 net::task<> HandleCall(gateway_state& aState, std::shared_ptr<net::caller_connection> aCaller,
                        std::shared_ptr<net::inbound_request> aRequest);
 
+/// Ends the attempts of all calls, once `gateway_state::mStopsAt` has come. Each call is answered,
+/// except streams that have begun; these break off.
+void EndOpenCalls(gateway_state& aState);
+
 /// The result of an attempt.
 struct attempt_outcome
 {
