Answer what waits in the listen queue at the end of a stop

Cause: closing the listening socket makes the kernel reset the connections that were not accepted yet, and accepted ones were closed over requests that had not been read. Class: a resource with work in it is closed before it is emptied.

--- a/src/entry/engine_client.cpp
+++ b/src/entry/engine_client.cpp
@@ -81,8 +81,7 @@
   using std::chrono::ceil;
   return { .mKeepAliveIdleS =
              static_cast<int>(ceil<std::chrono::seconds>(aCall.mReadTimeout).count()),
-           .mUnacknowledgedMs =
-             static_cast<int>(ceil<std::chrono::milliseconds>(aCall.mReadTimeout).count()) };
+           .mUnacknowledged = aCall.mReadTimeout };
 }
 
 net::task<> CallOver(std::shared_ptr<net::exchange> aConnection, const backend_call& aCall,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -344,6 +344,19 @@
 void http_server::StopAccepting()
 {
   mIsClosed = true;
+  // The kernel resets the connections that still wait when the listening socket is closed.
+  error_code failure;
+  mAcceptor.non_blocking(true, failure);
+  while (!failure) {
+    tcp::socket socket(mAcceptor.get_executor());
+    mAcceptor.accept(socket, failure);
+    if (!failure) {
+      Take(std::move(socket));
+    }
+  }
+  if (failure != asio::error::would_block && mAcceptor.is_open()) {
+    observe::event_line("accept_failed").Text("reason", failure.message()).Write();
+  }
   error_code ignoredAsClosedAnyway;
   mAcceptor.close(ignoredAsClosedAnyway);
 }
@@ -364,6 +377,20 @@
     }));
 }
 
+void http_server::EndIdle()
+{
+  for (caller_connection* connection : mConnections) {
+    error_code failure;
+    if (connection->mPhase != connection_phase::Idle ||
+        connection->mSocket.available(failure) > 0 || failure) {
+      continue;
+    }
+    connection->mEnd = connection->mEnd.value_or(connection_end::Stop);
+    error_code ignoredAsClosedSoon;
+    connection->mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedSoon);
+  }
+}
+
 void http_server::CloseAll()
 {
   for (caller_connection* connection : mConnections) {
@@ -414,14 +441,19 @@
     if (IsInReserve(socket.native_handle())) {
       relief.Free("reserve");
     }
-    LimitSilence(socket, silence_limits{});
-    ++mCounts->mAccepted;
-    auto connection =
-      std::make_shared<caller_connection>(std::move(socket), *mOptions.mLimits, mCounts);
-    Spawn(mAcceptor.get_executor(), "serve", Serve(std::move(connection)));
+    Take(std::move(socket));
   }
 }
 
+void http_server::Take(tcp::socket aSocket)
+{
+  LimitSilence(aSocket, silence_limits{});
+  ++mCounts->mAccepted;
+  auto connection =
+    std::make_shared<caller_connection>(std::move(aSocket), *mOptions.mLimits, mCounts);
+  Spawn(mAcceptor.get_executor(), "serve", Serve(std::move(connection)));
+}
+
 task<> http_server::Serve(std::shared_ptr<caller_connection> aConnection)
 {
   mConnections.insert(aConnection.get());
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -177,11 +177,14 @@
   http_server& operator=(const http_server&) = delete;
 
   void Start();
-  /// Ends the wait for new connections and closes the listening socket.
+  /// Accepts the connections that wait, and closes the listening socket.
   void StopAccepting();
   /// From now on each answer ends its connection; connections without a request stay open, since a
   /// request may be on its way.
   void Drain();
+  /// Sends the end of the stream on connections without a request, so that their callers close
+  /// them.
+  void EndIdle();
   /// Closes all connections.
   void CloseAll();
   /// Closes the connection that has waited longest for a request, and returns whether there was
@@ -203,6 +206,7 @@
 private:
   error_code Bind();
   task<> Accept();
+  void Take(tcp::socket aSocket);
   task<> Serve(std::shared_ptr<caller_connection> aConnection);
   task<> ServeAll(std::shared_ptr<caller_connection> aConnection);
   task<bool> ServeOne(std::shared_ptr<caller_connection> aConnection);
