--- a/src/net/exchange_test.cpp
+++ b/src/net/exchange_test.cpp
@@ -289,15 +289,16 @@
     CAPTURE(head);
     CHECK(ReadCut(head, answer_end::Close, http::verb::get).mFailure);
   }
+}
 
-  TEST_CASE("an answer with a field that is too long to be stored is an error of the read")
-  {
-    asio::io_context loop{ 1 };
-    const std::string field = "Name: " + std::string(66000, 'x') + "\r\n\r\n";
-    endless_server server(
-      loop, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + field, field);
-    error_code failure;
-    Spawn(loop.get_executor(), "read_answer", ReadAnswer(loop, server.Address(), failure));
-    loop.run_for(3s);
-    CHECK(failure == http::error::header_limit);
-  }
+TEST_CASE("an answer with a field that is too long to be stored is an error of the read")
+{
+  asio::io_context loop{ 1 };
+  const std::string field = "Name: " + std::string(66000, 'x') + "\r\n\r\n";
+  endless_server server(loop, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + field,
+                        field);
+  error_code failure;
+  Spawn(loop.get_executor(), "read_answer", ReadAnswer(loop, server.Address(), failure));
+  loop.run_for(3s);
+  CHECK(failure == http::error::header_limit);
+}
