Send no body in parts where the answer has none

A caller that sent HEAD to a streaming route, or got 204 or 304 there, received bytes of chunks after the header. On a kept connection it took them for the begin of the next answer, which was lost.

Cause: the path that sends an answer in parts always declared and wrote chunks; the path for whole answers knew HEAD, and the parser skips such bodies on the way in.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -197,8 +197,11 @@
   head.version(11);
   head.keep_alive(mKeepAlive);
   head.erase(http::field::content_length);
-  mIsChunked = true;
-  head.chunked(true);
+  const bool allowsBody =
+    head.result() != http::status::no_content && head.result() != http::status::not_modified;
+  mIsBodiless = mIsHead || !allowsBody;
+  mIsChunked = allowsBody;
+  head.chunked(allowsBody);
   error_code failure;
   StartWrite();
   http::response_serializer<http::empty_body> serializer(head);
@@ -212,6 +215,9 @@
 task<error_code> caller_connection::WriteBody(std::string_view aBytes)
 {
   error_code failure;
+  if (mIsBodiless) {
+    co_return failure;
+  }
   StartWrite();
   const auto chunk = http::make_chunk(asio::const_buffer(aBytes.data(), aBytes.size()));
   co_await asio::async_write(mSocket, chunk, asio::redirect_error(asio::use_awaitable, failure));
@@ -224,6 +230,10 @@
 {
   mHasRequest = false;
   error_code failure;
+  if (mIsBodiless) {
+    EndAnswer(failure);
+    co_return failure;
+  }
   StartWrite();
   const auto last = http::make_chunk_last();
   co_await asio::async_write(mSocket, last, asio::redirect_error(asio::use_awaitable, failure));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -88,7 +88,8 @@
   /// Sends a whole answer. `Content-Length` is set here. Returns the failure of the write, if any.
   task<error_code> Answer(outbound_answer& aAnswer);
 
-  /// Sends the header of an answer whose body follows in parts.
+  /// Sends the header of an answer whose body follows in parts. An answer to HEAD, and one with the
+  /// status 204 or 304, has no body: the parts are not sent.
   task<error_code> StartBody(const http::response_header<>& aHeader);
   /// Sends a part of the body.
   task<error_code> WriteBody(std::string_view aBytes);
@@ -137,6 +138,7 @@
   bool mIsHead = false;
   bool mIsChunked = false;
   time_point mIdleSince = Now(); ///< in the phase `Idle`: its begin
+  bool mIsBodiless = false;      ///< the answer that is sent in parts has no body
 };
 
 /// Answers one request. If it throws before the answer has begun, the caller gets 500.
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -238,3 +238,39 @@
   CHECK(server.Connections() == 0);
   server.CloseAll();
 }
+
+TEST_CASE("an answer without a body that is sent in parts leaves no bytes before the next answer")
+{
+  for (const auto& [method, status] :
+       { std::pair("HEAD", 200U), std::pair("GET", 204U), std::pair("GET", 304U) }) {
+    CAPTURE(status);
+    asio::io_context loop{ 1 };
+    const caller_limits limits;
+    http_server server(loop,
+                       { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                         .mLimits = &limits,
+                         .mHandler = [status = status](std::shared_ptr<caller_connection> aCaller,
+                                                       std::shared_ptr<inbound_request>) -> task<> {
+                           http::response_header<> header;
+                           header.result(status);
+                           co_await aCaller->StartBody(header);
+                           co_await aCaller->WriteBody("event");
+                           co_await aCaller->FinishBody();
+                         } });
+    server.Start();
+    const auto socket = std::make_shared<tcp::socket>(loop);
+    socket->connect(server.Address());
+    const std::string request = std::string(method) + " / HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(*socket, asio::buffer(request + request));
+    endless_upload upload;
+    Spawn(loop.get_executor(), "receive", Receive(socket, upload));
+    loop.run_for(100ms);
+    server.CloseAll();
+    loop.run_for(100ms);
+    const std::string& seen = upload.mAnswer;
+    const std::size_t size = seen.find("\r\n\r\n") + 4;
+    CHECK(seen.substr(size) == seen.substr(0, size));
+    CHECK((status == 200 || seen.find("Transfer-Encoding") == std::string::npos));
+    CHECK(server.Counts().mAnswered == 2);
+  }
+}
