Count a connection as busy from the first byte of a request

A request whose header had arrived in part counted as no request, so the end of a stop cut it as an idle connection.

Cause (state that is set too late): the phase became Reading only after the whole header was read.

Change: the phase is Reading as soon as bytes are there to read.

Measured: the test passes. In one of the runs of net_test "a closed connection to a server does not hold its local port against a listener" failed with "Address already in use", which this change does not touch.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -501,6 +501,9 @@
       connection.RecordFailure(failure);
       co_return false;
     }
+    if (connection.mSocket.available(failure) > 0) {
+      connection.mPhase = connection_phase::Reading;
+    }
   }
 
   // The parser consumes a body as it arrives, but not an unfinished chunk size line or trailer.
@@ -516,9 +519,6 @@
     connection.RecordFailure(failure);
     co_return false;
   }
-  if (!failure || connection.mBuffer.size() > 0) {
-    connection.mPhase = connection_phase::Reading;
-  }
   if (failure == http::error::header_limit) {
     co_await Refuse(connection, protocol_refusal::HeaderTooLarge);
     co_return false;
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -274,3 +274,20 @@
     CHECK(server.Counts().mAnswered == 2);
   }
 }
+
+// Guards against a request that a stop cuts because only a part of its header has arrived.
+TEST_CASE("a connection is busy from the first byte of a request")
+{
+  asio::io_context loop{ 1 };
+  const caller_limits limits;
+  http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                             .mLimits = &limits });
+  server.Start();
+  tcp::socket caller(loop);
+  caller.connect(server.Address());
+  loop.run_for(50ms);
+  CHECK(server.BusyConnections() == 0);
+  asio::write(caller, asio::buffer(std::string("GET / HT")));
+  loop.run_for(50ms);
+  CHECK(server.BusyConnections() == 1);
+}
