Read on after the last answer until the caller has it

A caller lost the rest of an answer in a reset when its connection ended with the answer (Connection: close, or a stop) and it had sent bytes that nobody read, such as a pipelined request.

Cause (close with unread input): Linux resets a connection that is closed with unread bytes and drops its send queue. Only refusals read on before the close.

Change: each connection that ends in order shuts its sending side down, then discards what arrives until the caller has closed, or 500 ms after the last byte was acknowledged, and no longer than the limit of a write. It is not busy then.

The end of such a connection by CloseAll has no test yet.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace tamarackweir::net {
@@ -24,8 +26,7 @@
 /// Bytes of further requests that are read while one is answered; more wait in the socket.
 constexpr std::size_t kMaxPipelinedBytes = 1U << 16U;
 
-/// How long a refused caller may go on sending before its connection is closed, so that it reads
-/// the answer before the reset.
+/// How long a caller that has received its last answer may go on before its connection is closed.
 constexpr duration kLingerLimit = 500ms;
 
 constexpr duration kAcceptRetryDelay = 20ms; ///< after a failure
@@ -52,6 +53,12 @@
   return http::status::bad_request;
 }
 
+bool HasUnsentBytes(tcp::socket& aSocket)
+{
+  int bytes = 0;
+  return ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 outbound_answer ProblemAnswer(http::status aStatus, const std::string& aOutcome)
 {
   outbound_answer answer{ aStatus, 11 };
@@ -150,11 +157,16 @@
 
 void caller_connection::StartWrite()
 {
-  const duration left = mDeadline ? *mDeadline - Now() : duration::zero();
-  mWatchdog.Arm(std::max(mLimits.mWriteTimeout, left));
+  mWatchdog.Arm(WriteLimit());
   mSilenceWatch.Start();
 }
 
+duration caller_connection::WriteLimit() const
+{
+  const duration left = mDeadline ? *mDeadline - Now() : duration::zero();
+  return std::max(mLimits.mWriteTimeout, left);
+}
+
 void caller_connection::EndAnswer(const error_code& aFailure)
 {
   if (aFailure) {
@@ -249,6 +261,37 @@
   CloseFor(connection_end::Server);
 }
 
+void caller_connection::Discard(std::shared_ptr<asio::steady_timer> aOnEnd)
+{
+  mBuffer.clear();
+  const auto room = mBuffer.prepare(std::min(mBuffer.max_size(), kMaxPipelinedBytes));
+  mSocket.async_read_some(
+    room, [self = shared_from_this(), timer = std::move(aOnEnd)](error_code aFailure, std::size_t) {
+      if (aFailure) {
+        self->mIsDiscarded = true;
+        timer->cancel();
+        return;
+      }
+      self->Discard(timer);
+    });
+}
+
+task<> caller_connection::Linger()
+{
+  const time_point end = Now() + WriteLimit();
+  error_code ignoredAsClosedAnyway;
+  mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedAnyway);
+  mSilenceWatch.Start();
+  const auto timer = std::make_shared<asio::steady_timer>(mSocket.get_executor());
+  timer->expires_after(kLingerLimit);
+  Discard(timer);
+  do {
+    error_code ignoredCancel;
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignoredCancel));
+    timer->expires_after(kLingerLimit);
+  } while (!mIsDiscarded && mSocket.is_open() && HasUnsentBytes(mSocket) && Now() < end);
+}
+
 void caller_connection::OnGone(std::function<void()> aAction)
 {
   mOnGone = std::move(aAction);
@@ -470,8 +513,11 @@
   if (const auto reason = co_await FailureOf(ServeAll(aConnection))) {
     observe::event_line("serve_failed").Text("reason", *reason).Write();
   }
+  if (!aConnection->mEnd && aConnection->mSocket.is_open()) {
+    aConnection->mEnd = connection_end::Server;
+    co_await aConnection->Linger();
+  }
   error_code ignoredAsClosedAnyway;
-  aConnection->mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedAnyway);
   aConnection->mSocket.close(ignoredAsClosedAnyway);
   mConnections.erase(aConnection.get());
   const connection_end end = aConnection->EndOf({});
@@ -609,19 +655,7 @@
   ++mCounts->mRead;
   aConnection.mKeepAlive = false;
   outbound_answer answer = ProblemAnswer(StatusOf(aRefusal), "not_run");
-  if (co_await aConnection.Answer(answer)) {
-    co_return;
-  }
-  // Reads on for a moment: closing with unread bytes would reset the connection under the answer.
-  error_code failure;
-  aConnection.mSocket.shutdown(tcp::socket::shutdown_send, failure);
-  aConnection.mWatchdog.Arm(kLingerLimit);
-  while (!failure) {
-    aConnection.mBuffer.clear();
-    const auto room = aConnection.mBuffer.prepare(kMaxPipelinedBytes);
-    co_await aConnection.mSocket.async_read_some(
-      room, asio::redirect_error(asio::use_awaitable, failure));
-  }
+  (void)co_await aConnection.Answer(answer);
 }
 
 } // namespace tamarackweir::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -119,6 +119,11 @@
   connection_end EndOf(const error_code& aFailure) const;
   void RecordFailure(const error_code& aFailure);
   void StartWrite();
+  duration WriteLimit() const;
+  /// Ends the sending side and waits until the caller has received all and closed, or has had its
+  /// time. Discards what it sends, since closing with unread bytes resets the connection.
+  task<> Linger();
+  void Discard(std::shared_ptr<asio::steady_timer> aOnEnd);
   void EndAnswer(const error_code& aFailure);
 
   tcp::socket mSocket;
@@ -129,8 +134,9 @@
   std::optional<time_point> mDeadline; ///< of the request
   std::function<void()> mOnGone;
   bool mIsGone = false;
-  bool mIsWatched = false;  ///< a wait for readability is pending
-  bool mHasRequest = false; ///< a request was read and not answered yet
+  bool mIsWatched = false;   ///< a wait for readability is pending
+  bool mIsDiscarded = false; ///< all that the caller sends after the last answer was read
+  bool mHasRequest = false;  ///< a request was read and not answered yet
   connection_phase mPhase = connection_phase::Idle;
   std::optional<connection_end> mEnd; ///< set once it is known
   std::shared_ptr<connection_counts> mCounts;
--- a/src/net/silence_test.cpp
+++ b/src/net/silence_test.cpp
@@ -123,3 +123,27 @@
   CHECK_MESSAGE(!failure, failure.message());
   connection->Close();
 }
+
+// Guards against an answer that is lost in a reset because its caller has sent bytes nobody reads.
+TEST_CASE("a caller that reads slowly gets the last answer whole though it has sent more")
+{
+  slow_caller caller;
+  caller.mServer.Drain();
+  const std::string further(1UL << 18U, 'x');
+  asio::async_write(caller.mSocket, asio::buffer(further), [](error_code, std::size_t) {});
+  std::string answer;
+  error_code failure;
+  std::string part(1UL << 14U, 'x');
+  while (!failure) {
+    caller.mLoop.run_for(30ms);
+    caller.mSocket.non_blocking(true);
+    const std::size_t size = caller.mSocket.read_some(asio::buffer(part), failure);
+    answer.append(part, 0, size);
+    if (failure == asio::error::would_block) {
+      failure = {};
+    }
+  }
+  CHECK(failure == asio::error::eof);
+  CHECK(answer.size() > kBytes);
+  CHECK(caller.mServer.BusyConnections() == 0);
+}
