Lose no request or answer between a drain and the end of a stop

Callers saw: nothing yet; a reviewer who had not seen the work found these by reading the new end of a connection. Cause: a drain took keep-alive back from answers whose header had promised it, so that the next request was read and dropped by the lingering close; an answer that was still in the send queue did not count as busy, so a calm stop went on to the end; the same connection could be closed as the longest idle one; and a request that came after the end of the stream of a stop was read though it could not be answered. Class: the end of a write taken for the end of its delivery. Change: a drain leaves answers that have begun alone, unsent bytes count as busy and are never taken for idle, and such a request stays unread. Serve forgets its connection also when the lingering throws.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -17,12 +17,6 @@
 /// How long a caller that has received its last answer may go on before its connection is closed.
 constexpr duration kLingerLimit = 500ms;
 
-bool HasUnsentBytes(tcp::socket& aSocket)
-{
-  int bytes = 0;
-  return ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
-}
-
 } // namespace
 
 const char* ToString(connection_phase aPhase)
@@ -231,7 +225,13 @@
     error_code ignoredCancel;
     co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignoredCancel));
     timer->expires_after(kLingerLimit);
-  } while (!mIsDiscarded && mSocket.is_open() && HasUnsentBytes(mSocket) && Now() < end);
+  } while (!mIsDiscarded && mSocket.is_open() && HasUnsentBytes() && Now() < end);
+}
+
+bool caller_connection::HasUnsentBytes()
+{
+  int bytes = 0;
+  return mSocket.is_open() && ioctl(mSocket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 void caller_connection::OnGone(std::function<void()> aAction)
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -120,6 +120,8 @@
   connection_end EndOf(const error_code& aFailure) const;
   void RecordFailure(const error_code& aFailure);
   void StartWrite();
+  /// Whether the caller's machine has not acknowledged all that was written.
+  bool HasUnsentBytes();
   duration WriteLimit() const;
   /// Ends the sending side and waits until the caller has received all and closed, or has had its
   /// time. Discards what it sends, since closing with unread bytes resets the connection.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -129,15 +129,18 @@
 {
   mDraining = true;
   for (caller_connection* connection : mConnections) {
-    connection->mKeepAlive = false;
+    // A caller that was told that the connection stays may have sent its next request already.
+    if (connection->mPhase != connection_phase::Answering) {
+      connection->mKeepAlive = false;
+    }
   }
 }
 
 std::size_t http_server::BusyConnections() const
 {
-  return static_cast<std::size_t>(std::count_if(
-    mConnections.begin(), mConnections.end(), [](const caller_connection* aConnection) {
-      return aConnection->mPhase != connection_phase::Idle;
+  return static_cast<std::size_t>(
+    std::count_if(mConnections.begin(), mConnections.end(), [](caller_connection* aConnection) {
+      return aConnection->mPhase != connection_phase::Idle || aConnection->HasUnsentBytes();
     }));
 }
 
@@ -169,7 +172,8 @@
     error_code ignoredAsClosed;
     if (connection->mPhase == connection_phase::Idle && connection->mSocket.is_open() &&
         (longest == nullptr || connection->mIdleSince < longest->mIdleSince) &&
-        connection->mBuffer.size() == 0 && connection->mSocket.available(ignoredAsClosed) == 0) {
+        connection->mBuffer.size() == 0 && connection->mSocket.available(ignoredAsClosed) == 0 &&
+        !connection->HasUnsentBytes()) {
       longest = connection;
     }
   }
@@ -226,7 +230,9 @@
   }
   if (!aConnection->mEnd && aConnection->mSocket.is_open()) {
     aConnection->mEnd = connection_end::Server;
-    co_await aConnection->Linger();
+    if (const auto reason = co_await FailureOf(aConnection->Linger())) {
+      observe::event_line("serve_failed").Text("reason", *reason).Write();
+    }
   }
   error_code ignoredAsClosedAnyway;
   aConnection->mSocket.close(ignoredAsClosedAnyway);
@@ -258,6 +264,10 @@
       connection.RecordFailure(failure);
       co_return false;
     }
+    if (connection.mEnd) {
+      // No answer could be sent any more; a request that is not read may be sent again.
+      co_return false;
+    }
     if (connection.mSocket.available(failure) > 0) {
       connection.mPhase = connection_phase::Reading;
     }
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -291,3 +291,32 @@
   loop.run_for(50ms);
   CHECK(server.BusyConnections() == 1);
 }
+
+TEST_CASE("a request behind an answer that had begun before the drain is answered")
+{
+  asio::io_context loop{ 1 };
+  const caller_limits limits;
+  http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                             .mLimits = &limits,
+                             .mHandler = [](std::shared_ptr<caller_connection> aCaller,
+                                            std::shared_ptr<inbound_request>) -> task<> {
+                               co_await aCaller->StartBody({});
+                               co_await SleepFor(aCaller->Executor(), 50ms);
+                               co_await aCaller->FinishBody();
+                             } });
+  server.Start();
+  const auto socket = std::make_shared<tcp::socket>(loop);
+  socket->connect(server.Address());
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(*socket, asio::buffer(request));
+  endless_upload upload;
+  Spawn(loop.get_executor(), "receive", Receive(socket, upload));
+  loop.run_for(25ms);
+  server.Drain();
+  loop.run_for(50ms);
+  asio::write(*socket, asio::buffer(request));
+  loop.run_for(200ms);
+  CHECK(server.Counts().mRead == 2);
+  CHECK(server.Counts().mAnswered == 2);
+  CHECK(upload.mAnswer.find("Connection: close") != std::string::npos);
+}
