--- a/src/net/silence.cpp
+++ b/src/net/silence.cpp
@@ -60,6 +60,14 @@
   set(IPPROTO_TCP, TCP_KEEPIDLE, aLimits.mKeepAliveIdleS);
   set(IPPROTO_TCP, TCP_KEEPINTVL, aLimits.mKeepAliveIntervalS);
   set(IPPROTO_TCP, TCP_KEEPCNT, aLimits.mKeepAliveProbes);
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    // Without it a closed window can't be told from a dead machine.
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT,
+        static_cast<int>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(aLimits.mUnacknowledged).count()));
+  }
 }
 
 struct silence_watch::state
