--- a/src/entry/cut_answers_test.cpp
+++ b/src/entry/cut_answers_test.cpp
@@ -26,7 +26,7 @@
     }
     boost::asio::write(peer, boost::asio::buffer(aBytes));
   });
-  const call_result result =
+  call_result result =
     CallPlain({ .mServer = { .mHost = "127.0.0.1", .mPort = acceptor.local_endpoint().port() },
                 .mPath = "/",
                 .mBody = "question" });
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -187,7 +187,8 @@
   for (const auto& [limits, sent, expected] :
        { std::tuple(caller_limits{ .mMaxHeaderBytes = 128 * 1024 }, begin + field, "HTTP/1.1 431 "),
          std::tuple(caller_limits{}, inTrailer, "HTTP/1.1 400 ") }) {
-    CAPTURE(expected);
+    const std::string answerStart = expected;
+    CAPTURE(answerStart);
     asio::io_context loop{ 1 };
     http_server server(loop, { .mAddress = tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
                                .mLimits = &limits,
@@ -243,7 +244,8 @@
 {
   for (const auto& [method, status] :
        { std::pair("HEAD", 200U), std::pair("GET", 204U), std::pair("GET", 304U) }) {
-    CAPTURE(status);
+    const std::string methodName = method;
+    CAPTURE(methodName);
     asio::io_context loop{ 1 };
     const caller_limits limits;
     http_server server(loop,
