--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -74,7 +74,7 @@
 {
   std::uint64_t mAccepted = 0;
   std::uint64_t mRead = 0;     ///< requests that were read whole, or refused while they were read
-  std::uint64_t mAnswered = 0; ///< of these, those whose answer was written whole
+  std::uint64_t mAnswered = 0; ///< of these, those whose whole answer the kernel took
   /// Ended connections, by the phase in which they were and by the reason.
   std::array<std::array<std::uint64_t, kConnectionEnds>, kConnectionPhases> mEnded{};
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -129,7 +129,7 @@
 {
   mDraining = true;
   for (caller_connection* connection : mConnections) {
-    // A caller that was told that the connection stays may have sent its next request already.
+    // Its header has promised keep-alive, so the caller may have sent its next request already.
     if (connection->mPhase != connection_phase::Answering) {
       connection->mKeepAlive = false;
     }
--- a/src/net/silence.cpp
+++ b/src/net/silence.cpp
@@ -63,7 +63,7 @@
   tcp_info info{};
   socklen_t size = sizeof info;
   if (getsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-    // Without it a closed window can't be told from a dead machine.
+    // Without TCP_INFO a closed window looks like a dead machine.
     set(IPPROTO_TCP, TCP_USER_TIMEOUT,
         static_cast<int>(
           std::chrono::duration_cast<std::chrono::milliseconds>(aLimits.mUnacknowledged).count()));
