Log how an answer's body ends, and what the budget holds at a retry

The log could not tell the hypotheses apart: it did not say whether the end of a body was a length, a last chunk or the end of the connection, whether the request's write had failed, or what the budget held when it allowed a repeat.

Lines 'run' and 'attempt' now have 'framing', 'run' has 'write_failure', and a line 'retry' has the requests and retries of the window and the most that it allows. No behaviour changes. Compiled; tests not run yet.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -226,8 +226,23 @@
 
 bool ConsumeRetry(gateway_state& aState, const call& aCall, attempt_result aResult)
 {
-  return !aCall.mCaller->IsGone() && !IsEnding(aState) && !IsQuarantined(aState, aCall) &&
-         MayRetry(aResult, HistoryOf(aState, aCall), BudgetOf(aState, aCall.mService), net::Now());
+  if (aCall.mCaller->IsGone() || IsEnding(aState) || IsQuarantined(aState, aCall)) {
+    return false;
+  }
+  overload::retry_budget& budget = BudgetOf(aState, aCall.mService);
+  const bool mayRetry = MayRetry(aResult, HistoryOf(aState, aCall), budget, net::Now());
+  const overload::budget_use use = overload::UseOf(budget, net::Now());
+  observe::event_line("retry")
+    .Text("request", aCall.mHeader.mAttempt)
+    .Text("service", aCall.mService.Value())
+    .Text("after", NameOf(aResult))
+    .Flag("allowed", mayRetry)
+    .Real("requests", use.mRequests)
+    .Real("retries", use.mRetries)
+    .Real("most", use.mMost)
+    .Number("instances", static_cast<std::int64_t>(aState.mInstances.size()))
+    .Write();
+  return mayRetry;
 }
 
 net::task<bool> MovesElsewhere(gateway_state& aState, call& aCall, attempt& aAttempt,
@@ -436,6 +451,8 @@
                         ? aOutcome.mExchange->Header().result_int()
                         : 0)
     .Text("reason", aOutcome.mReadFailure ? aOutcome.mReadFailure.message() : "")
+    .Text("framing",
+          aOutcome.mExchange != nullptr ? net::ToString(aOutcome.mExchange->Framing()) : "")
     .Number("confidence", aOutcome.mHeader.mConfidence.value_or(-1))
     .Millis("ms", aTime)
     .Number("candidates", static_cast<std::int64_t>(aOutcome.mCandidateCount))
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -203,6 +203,9 @@
     .Text("server", aOutcome.mAttempt->Server().mAnnounced.mId.Value())
     .Text("end", NameOf(aEnd))
     .Text("reason", aOutcome.mReadFailure ? aOutcome.mReadFailure.message() : "")
+    .Text("framing", net::ToString(aOutcome.mExchange->Framing()))
+    .Text("write_failure",
+          aOutcome.mExchange->WriteFailure() ? aOutcome.mExchange->WriteFailure().message() : "")
     .Number("events", static_cast<std::int64_t>(aDelivery.mEvents))
     .Number("last_event",
             aDelivery.mLastEvent ? static_cast<std::int64_t>(*aDelivery.mLastEvent) : -1)
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -17,8 +17,34 @@
 /// Bytes read at a time; an event of a stream is far smaller.
 constexpr std::size_t kReadBytes = 1U << 13U;
 
+body_framing FramingOf(const http::response_parser<http::buffer_body>& aParser)
+{
+  if (aParser.is_done()) {
+    return body_framing::None;
+  }
+  if (aParser.chunked()) {
+    return body_framing::Chunked;
+  }
+  return aParser.need_eof() ? body_framing::Connection : body_framing::Length;
+}
+
 } // namespace
 
+const char* ToString(body_framing aFraming)
+{
+  switch (aFraming) {
+    case body_framing::None:
+      return "none";
+    case body_framing::Length:
+      return "length";
+    case body_framing::Chunked:
+      return "chunked";
+    case body_framing::Connection:
+      return "connection";
+  }
+  return "unknown";
+}
+
 exchange::exchange(const asio::any_io_executor& aExecutor)
   : mSocket(aExecutor)
   , mSilenceWatch(mSocket, silence_limits{}.mUnacknowledged)
@@ -62,9 +88,9 @@
   mSilenceWatch.Start();
   // A failed write also fails the read that is pending, or leaves an answer to be read.
   const outbound_request& request = *aRequest;
-  http::async_write(
-    mSocket, request,
-    [self = shared_from_this(), kept = std::move(aRequest)](error_code, std::size_t) {});
+  http::async_write(mSocket, request,
+                    [self = shared_from_this(), kept = std::move(aRequest)](
+                      error_code aFailure, std::size_t) { self->mWriteFailure = aFailure; });
 }
 
 void exchange::StartParser()
@@ -146,6 +172,7 @@
     }
     if (mParser->is_header_done()) {
       if (mParser->get().result_int() >= 200) {
+        mFraming = FramingOf(*mParser);
         co_return HasKnownEnd(mParser->get().base()) ? error_code{}
                                                      : http::error::bad_transfer_encoding;
       }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -26,6 +26,17 @@
 /// arrives, but waits for the end of a header, of a chunk's size line and of the trailer.
 inline constexpr std::size_t kMaxUnparsedBytes = kMaxAnswerHeaderBytes;
 
+/// What marks the end of an answer's body (RFC 9112, section 6.3).
+enum class body_framing
+{
+  None, ///< there is no body
+  Length,
+  Chunked,
+  Connection, ///< the orderly end of the connection
+};
+
+const char* ToString(body_framing aFraming);
+
 /// One request to a server and its answer, on a connection of its own.
 ///
 /// The request is written while the answer is read, because a server may answer before it has read
@@ -61,6 +72,11 @@
   /// Start line and header of the answer; valid after `ReadHeader`.
   const http::response_header<>& Header() const { return mParser->get().base(); }
 
+  /// What marks the end of the body; valid after `ReadHeader`.
+  body_framing Framing() const { return mFraming; }
+  /// Why writing the request failed, if it did.
+  const error_code& WriteFailure() const { return mWriteFailure; }
+
   /// Closes the connection; pending operations fail.
   void Close();
 
@@ -79,6 +95,8 @@
   bool mIsWaiting = false;  ///< a wait for readability is pending
   bool mIsReadable = false; ///< it has ended
   std::optional<http::response_parser<http::buffer_body>> mParser;
+  body_framing mFraming = body_framing::None;
+  error_code mWriteFailure;
   bool mIsHead = false;
 };
 
--- a/src/overload/retry.cpp
+++ b/src/overload/retry.cpp
@@ -28,13 +28,9 @@
 
 bool TryCharge(retry_budget& aBudget, time_point aNow)
 {
-  AdvanceWindow(aBudget, aNow);
-  const auto sum = [](const auto& aSlots) {
-    return std::accumulate(aSlots.begin(), aSlots.end(), 0.0);
-  };
-  const double allowed = aBudget.mRatio * sum(aBudget.mRequests) + aBudget.mFixedAllowance;
-  const bool isUnused = aBudget.mRatio > 0 && sum(aBudget.mRetries) < 1;
-  if (!isUnused && sum(aBudget.mRetries) + 1 > allowed) {
+  const budget_use use = UseOf(aBudget, aNow);
+  const bool isUnused = aBudget.mRatio > 0 && use.mRetries < 1;
+  if (!isUnused && use.mRetries + 1 > use.mMost) {
     return false;
   }
   ++aBudget.mRetries[Slot(aBudget)];
@@ -48,6 +44,18 @@
 
 } // namespace
 
+budget_use UseOf(retry_budget& aBudget, time_point aNow)
+{
+  AdvanceWindow(aBudget, aNow);
+  const auto sum = [](const auto& aSlots) {
+    return std::accumulate(aSlots.begin(), aSlots.end(), 0.0);
+  };
+  const double requests = sum(aBudget.mRequests);
+  return { .mRequests = requests,
+           .mRetries = sum(aBudget.mRetries),
+           .mMost = aBudget.mRatio * requests + aBudget.mFixedAllowance };
+}
+
 void OnRequest(retry_budget& aBudget, time_point aNow)
 {
   AdvanceWindow(aBudget, aNow);
--- a/src/overload/retry.h
+++ b/src/overload/retry.h
@@ -32,6 +32,16 @@
   duration mExpectedDuration{}; ///< expected duration of another attempt
 };
 
+/// What a budget holds of its window.
+struct budget_use
+{
+  double mRequests = 0;
+  double mRetries = 0;
+  double mMost = 0; ///< retries that these requests allow
+};
+
+budget_use UseOf(retry_budget& aBudget, time_point aNow);
+
 /// Counts a request whose first attempt was sent.
 void OnRequest(retry_budget& aBudget, time_point aNow);
 
