Take the end of a connection whose request could not be written for a reset

Callers may get a cut answer as whole: Linux reports a reset once.

ReadSome now returns the failure of the write in place of an end of the stream.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -198,8 +198,11 @@
     }
     error_code failure = co_await Fill(end);
     if (failure == asio::error::eof) {
-      failure = {};
-      mParser->put_eof(failure);
+      // Linux reports a reset once; the write of the request may have taken it.
+      failure = mWriteFailure;
+      if (!failure) {
+        mParser->put_eof(failure);
+      }
     }
     if (failure) {
       co_return failure;
--- a/src/net/exchange_test.cpp
+++ b/src/net/exchange_test.cpp
@@ -307,3 +307,51 @@
   loop.run_for(3s);
   CHECK(failure == http::error::header_limit);
 }
+
+namespace {
+
+/// Accepts a request, answers with a part of a body without a length, and resets the connection
+/// while the request is still being sent.
+task<> ResetMidway(tcp::acceptor& aAcceptor)
+{
+  tcp::socket peer(aAcceptor.get_executor());
+  error_code failure;
+  co_await aAcceptor.async_accept(peer, asio::redirect_error(asio::use_awaitable, failure));
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\npart";
+  co_await asio::async_write(peer, asio::buffer(answer),
+                             asio::redirect_error(asio::use_awaitable, failure));
+  co_await SleepFor(aAcceptor.get_executor(), 100ms);
+  peer.set_option(asio::socket_base::linger(true, 0));
+}
+
+task<> SendLong(asio::io_context& aLoop, tcp::endpoint aServer, error_code& aFailure)
+{
+  const auto connection = std::make_shared<exchange>(aLoop.get_executor());
+  aFailure = co_await connection->Connect(aServer, 1s, silence_limits{});
+  auto request = std::make_shared<outbound_request>(http::verb::post, "/", 11);
+  request->body().resize(kKernelBytes, '.');
+  request->prepare_payload();
+  connection->Send(std::move(request));
+  if (!aFailure) {
+    aFailure = co_await connection->ReadHeader(1s);
+  }
+  std::string body;
+  while (!aFailure && !connection->IsComplete()) {
+    aFailure = co_await connection->ReadSome(body, 1s);
+  }
+  connection->Close();
+  aLoop.stop();
+}
+
+} // namespace
+
+TEST_CASE("a reset that the write of the request takes is not the orderly end of a body")
+{
+  asio::io_context loop{ 1 };
+  tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  error_code failure;
+  Spawn(loop.get_executor(), "server", ResetMidway(acceptor));
+  Spawn(loop.get_executor(), "reader", SendLong(loop, acceptor.local_endpoint(), failure));
+  loop.run_for(5s);
+  CHECK(failure);
+}
