Ask a server whether it has outlived an answer that only its connection ends

After such an end the server is now asked which one it is; the end counts only if the same start of it answers. Otherwise the stream goes on at another server, or is broken off. An end that brings no new event needs a second run that ends after the same event. Plain answers without a length get the same check.

--- /dev/null
+++ b/src/gateway/answer_end.cpp
@@ -0,0 +1,72 @@
+#include "gateway/answer_end.h"
+
+#include "net/http_call.h"
+#include "observe/event_log.h"
+
+#include <algorithm>
+
+namespace tamarackweir::gateway {
+
+namespace {
+
+/// Time for the statement of a server; a busy one takes several steps of its engine.
+constexpr duration kStatementLimit = 1s;
+constexpr std::size_t kMaxStatementBytes = std::size_t{ 64 } * 1024;
+
+/// Whether a statement may come from this start of the server.
+bool IsSameStart(const server_statement& aStatement, const backends::announcement& aServer)
+{
+  return (!aStatement.mServer || *aStatement.mServer == aServer.mId) &&
+         (aStatement.mStartId == 0 || aServer.mStartId == 0 ||
+          aStatement.mStartId == aServer.mStartId);
+}
+
+} // namespace
+
+bool IsStreamWhole(doubted_end& aDoubted, const stream_end& aEnd)
+{
+  const bool isConfirmed = aDoubted.mIsSet && aDoubted.mLastEvent == aEnd.mLastEvent;
+  if (aEnd.mIsCertain && (!aEnd.mIsContinuation || aEnd.mHasEvents || isConfirmed)) {
+    return true;
+  }
+  aDoubted = { .mIsSet = true, .mLastEvent = aEnd.mLastEvent };
+  return false;
+}
+
+net::task<bool> IsEndCertain(gateway_state& aState, const call& aCall,
+                             const attempt_outcome& aOutcome)
+{
+  if (aOutcome.mExchange->Framing() != net::body_framing::Connection) {
+    co_return true;
+  }
+  const backends::announcement server = aOutcome.mAttempt->Server().mAnnounced;
+  const auto service = aCall.mRoutes->mServices.find(aCall.mService);
+  const time_point asked = net::Now();
+  const duration limit = std::min(kStatementLimit, aCall.mDeadline - asked);
+  if (service == aCall.mRoutes->mServices.end() || service->second.mStatementTarget.empty() ||
+      limit <= duration::zero()) {
+    co_return false;
+  }
+  net::http_call question;
+  question.mServer = server.mAddress;
+  question.mTarget = service->second.mStatementTarget;
+  question.mLimit = limit;
+  question.mMaxAnswerBytes = kMaxStatementBytes;
+  const net::http_result answer =
+    co_await net::Perform(aCall.mCaller->Executor(), std::move(question));
+  const bool isCertain =
+    !answer.mFailure && IsSameStart(aState.mDialect.mReadStatement(answer), server);
+  observe::event_line("answer_end")
+    .Text("request", aCall.mHeader.mAttempt)
+    .Text("server", server.mId.Value())
+    .Flag("certain", isCertain)
+    .Text("reason", answer.mFailure ? answer.mFailure.message() : "")
+    .Number("status", answer.mStatus)
+    .Millis("ms", net::Now() - asked)
+    .Write();
+  aState.mMetrics.Count("tamarackweir_answer_ends_total",
+                        { { "certain", isCertain ? "yes" : "no" } });
+  co_return isCertain;
+}
+
+} // namespace tamarackweir::gateway
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -1,6 +1,7 @@
 #include "gateway/call.h"
 
 #include "base/digest.h"
+#include "gateway/answer_end.h"
 #include "gateway/crash_reports.h"
 #include "gateway/server_choice.h"
 #include "gateway/shift_results.h"
@@ -410,6 +411,9 @@
         failure == net::asio::error::timed_out ? attempt_result::TimedOut : attempt_result::Broken;
       co_return outcome;
     }
+    if (!co_await IsEndCertain(aState, aCall, outcome)) {
+      co_return outcome;
+    }
   }
   outcome.mResult = header.result_int() >= 500 ? attempt_result::Failure : attempt_result::Success;
   co_return outcome;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "net/exchange.h"
+#include "net/http_call.h"
 #include "net/http_server.h"
 #include "placement/choose.h"
 #include "routing/route_table.h"
@@ -51,6 +51,13 @@
   std::optional<int> mConfidence; ///< the model's confidence in its answer, in percent
 };
 
+/// What a backend server states of itself when it is asked.
+struct server_statement
+{
+  std::optional<server_id> mServer;
+  std::int64_t mStartId = 0; ///< changes on each start; 0: not given
+};
+
 /// How a front end of the gateway reads and writes headers. Function pointers, so that each front
 /// end can use its own header names.
 struct dialect
@@ -65,6 +72,8 @@
   /// Writes the header of the answer to the caller: the server's without hop-by-hop fields.
   void (*mWriteAnswer)(const net::http::response_header<>&,
                        net::http::response_header<>&) = nullptr;
+  /// Reads the answer to `routing::service::mStatementTarget`.
+  server_statement (*mReadStatement)(const net::http_result&) = nullptr;
   /// Adds the attempt's id to an answer that the gateway generates itself.
   void (*mMarkRefusal)(const call_header&, net::outbound_answer&) = nullptr;
 };
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -1,4 +1,5 @@
 #include "base/error.h"
+#include "gateway/answer_end.h"
 #include "gateway/call.h"
 #include "gateway/crash_reports.h"
 #include "gateway/shift_results.h"
@@ -23,7 +24,7 @@
   std::string mContentType;                ///< in that header
   std::optional<std::uint64_t> mLastEvent; ///< the last event sent to the caller
   std::size_t mEvents = 0;
-  bool mIsCallerLost = false;
+  doubted_end mDoubtedEnd;
 };
 
 /// Whether the answer of a resumed stream has the form of the one that the caller has begun to
@@ -62,6 +63,7 @@
 enum class run_end
 {
   Complete,
+  Doubtful, ///< in order, but the stream may go on
   Broken,
   Stalled,
   CallerLeft,
@@ -185,6 +187,8 @@
   switch (aEnd) {
     case run_end::Complete:
       return "complete";
+    case run_end::Doubtful:
+      return "doubtful";
     case run_end::Broken:
       return "broken";
     case run_end::Stalled:
@@ -266,7 +270,19 @@
           co_return;
         }
       }
-      const run_end end = co_await PumpEvents(aState, aCall, outcome, delivered);
+      const bool isContinuation = delivered.mLastEvent.has_value();
+      const std::size_t eventsBefore = delivered.mEvents;
+      run_end end = co_await PumpEvents(aState, aCall, outcome, delivered);
+      bool isCertain = true;
+      if (end == run_end::Complete) {
+        isCertain = co_await IsEndCertain(aState, aCall, outcome);
+        end = IsStreamWhole(delivered.mDoubtedEnd, { .mIsCertain = isCertain,
+                                                     .mIsContinuation = isContinuation,
+                                                     .mHasEvents = delivered.mEvents > eventsBefore,
+                                                     .mLastEvent = delivered.mLastEvent })
+                ? run_end::Complete
+                : run_end::Doubtful;
+      }
       outcome.mExchange->Close();
       aCall.mExchange.reset();
       LogRun(aCall, outcome, delivered, end);
@@ -282,10 +298,12 @@
         co_return;
       }
       result = end == run_end::Stalled ? attempt_result::TimedOut : attempt_result::Broken;
-      backends::RecordEnd(outcome.mAttempt->Server(),
-                          end == run_end::Stalled ? backends::attempt_end::TimedOut
-                                                  : backends::attempt_end::Broken,
-                          duration::zero(), net::Now());
+      if (end != run_end::Doubtful || !isCertain) {
+        backends::RecordEnd(outcome.mAttempt->Server(),
+                            end == run_end::Stalled ? backends::attempt_end::TimedOut
+                                                    : backends::attempt_end::Broken,
+                            duration::zero(), net::Now());
+      }
     } else if (outcome.mExchange != nullptr) {
       outcome.mExchange->Close();
     }
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -31,6 +31,7 @@
   result.mFailure = co_await connection->ReadHeader(std::max(end - Now(), duration::zero()));
   if (!result.mFailure) {
     result.mStatus = connection->Header().result_int();
+    result.mHeader = connection->Header();
     result.mFailure = co_await connection->ReadAll(result.mBody, aCall.mMaxAnswerBytes,
                                                    std::max(end - Now(), duration::zero()));
   }
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -23,6 +23,7 @@
   error_code mFailure;     ///< set: there is no whole answer
   bool mMayBeDone = false; ///< without an answer: bytes of the call have left
   unsigned mStatus = 0;
+  http::fields mHeader;
   std::string mBody;
 };
 
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -57,7 +57,8 @@
 struct service
 {
   service_id mId;
-  double mColdRate = 0; ///< requests/s that a cold backend server can handle; 0: no limit
+  double mColdRate = 0;         ///< requests/s that a cold backend server can handle; 0: no limit
+  std::string mStatementTarget; ///< where a backend server states which one it is; empty: nowhere
 };
 
 /// A client account.
