Begin no stream anew whose events have no ids

Without an id to go on from it is broken off now. The test "a broken stream whose events have no ids is not begun anew" holds with the change; it was not run without it.

--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -310,8 +310,10 @@
     if (result == attempt_result::Broken && outcome.mAttempt != nullptr) {
       co_await CheckForCrash(aState, aCall, *outcome.mAttempt);
     }
+    // Without an id to go on from, another run would begin anew.
+    const bool mayGoOn = delivered.mEvents == 0 || delivered.mLastEvent.has_value();
     const bool isWhole = result == attempt_result::Failure || result == attempt_result::Success;
-    if (outcome.mIsReplaced || (result != attempt_result::Success && !IsOver(aCall) &&
+    if (outcome.mIsReplaced || (result != attempt_result::Success && mayGoOn && !IsOver(aCall) &&
                                 ConsumeRetry(aState, aCall, result))) {
       continue;
     }
