--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -84,6 +84,7 @@
 
 void exchange::Send(std::shared_ptr<const outbound_request> aRequest)
 {
+  mIsSent = true;
   mIsHead = aRequest->method() == http::verb::head;
   mSilenceWatch.Start();
   // A failed write also fails the read that is pending, or leaves an answer to be read.
@@ -230,6 +231,9 @@
 void exchange::Close()
 {
   error_code ignoredAsClosedAnyway;
+  if (mIsSent && !IsComplete()) {
+    mSocket.set_option(tcp::socket::linger(true, 0), ignoredAsClosedAnyway);
+  }
   mSocket.close(ignoredAsClosedAnyway);
 }
 
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -77,7 +77,8 @@
   /// Why writing the request failed, if it did.
   const error_code& WriteFailure() const { return mWriteFailure; }
 
-  /// Closes the connection; pending operations fail.
+  /// Closes the connection; pending operations fail. If a request was sent and its answer is not
+  /// complete, resets it, so that bytes of the request which have not left can't arrive later.
   void Close();
 
 private:
@@ -97,6 +98,7 @@
   std::optional<http::response_parser<http::buffer_body>> mParser;
   body_framing mFraming = body_framing::None;
   error_code mWriteFailure;
+  bool mIsSent = false; ///< a request, or a part of it
   bool mIsHead = false;
 };
 
