Keep all instances together within the retry budget in each window

Four causes, each by reading first (B1 to B4): the budget counted in ten slots of which the newest is partly over, so that bursts 9.05 s apart were both allowed; a restarted instance had its fixed part again in the same window; a retry counted when it was decided and not when it arrived; instances that had left, and a list not yet read, made the parts of the others too large, and one retry in a window was always allowed at each.

Retries are now kept with their times; an instance has no fixed part for one window after its start; a retry is open until it has reached its server, and counts for a window after that; the fixed part is divided by the most instances of the window.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -1,6 +1,9 @@
 #include "gateway/admission.h"
 
+#include "net/loop.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace tamarackweir::gateway {
 
@@ -11,7 +14,7 @@
 constexpr duration kMinStreamWait = 400ms; ///< a busy engine's step takes up to half of this
 constexpr std::uint64_t kMinSamples = 5;   ///< until then the latency counts as unknown
 constexpr double kSmoothing = 0.1;         ///< weight of a new latency sample
-constexpr double kBudgetPart = 0.85;       ///< margin, since windows are not aligned
+constexpr double kBudgetPart = 0.85;       ///< margin for lists of instances that are out of date
 
 constexpr duration kMinRetryAfter = 50ms; ///< several round trips
 
@@ -45,7 +48,7 @@
                                    .mResponseStarted = aHistory.mDelivered,
                                    .mDeadline = aHistory.mDeadline,
                                    .mExpectedDuration = aHistory.mExpected };
-  return overload::TryAcquireRetry(aBudget, attempt, aNow);
+  return overload::TryOpenRetry(aBudget, attempt, aNow);
 }
 
 std::optional<duration> RetryAfter(const retry_outlook& aOutlook, double aPoint)
@@ -127,14 +130,51 @@
   ++aLatency.mSamples;
 }
 
-overload::retry_budget& BudgetOf(gateway_state& aState, const service_id& aService)
+std::shared_ptr<overload::retry_budget> BudgetOf(gateway_state& aState, const service_id& aService,
+                                                 time_point aNow)
 {
-  overload::retry_budget& budget = aState.mBudgets[aService];
-  const double instances = std::max<double>(1, static_cast<double>(aState.mInstances.size()));
-  budget.mWindow = aState.mOptions.mBounds.mRetryWindow;
-  budget.mRatio = aState.mOptions.mBounds.mRetryRatio * kBudgetPart;
-  budget.mFixedAllowance = aState.mOptions.mBounds.mRetrySlack * kBudgetPart / instances;
+  std::shared_ptr<overload::retry_budget>& budget = aState.mBudgets[aService];
+  if (budget == nullptr) {
+    budget = std::make_shared<overload::retry_budget>();
+  }
+  const deployment_bounds& bounds = aState.mOptions.mBounds;
+  // Instances that have left may have spent their parts in this window.
+  const double instances =
+    overload::MostOf(aState.mMostInstances, static_cast<double>(aState.mInstances.size()),
+                     bounds.mRetryWindow, aNow);
+  // What ran here before this start may have spent its part as well, and is not known.
+  const bool hasPart = aState.mKnowsInstances &&
+                       (aState.mIsFirstStart || aNow >= aState.mStartedAt + bounds.mRetryWindow);
+  budget->mWindow = bounds.mRetryWindow;
+  budget->mRatio = bounds.mRetryRatio * kBudgetPart;
+  budget->mFixedAllowance =
+    hasPart ? bounds.mRetrySlack * kBudgetPart / std::max(1.0, instances) : 0;
+  budget->mAllowsFirst = false;
   return budget;
 }
 
+charged_retry::charged_retry(std::shared_ptr<overload::retry_budget> aBudget)
+  : mBudget(std::move(aBudget))
+{
+}
+
+charged_retry::~charged_retry()
+{
+  Settle();
+}
+
+charged_retry& charged_retry::operator=(charged_retry&& aOther) noexcept
+{
+  Settle();
+  mBudget = std::move(aOther.mBudget);
+  return *this;
+}
+
+void charged_retry::Settle()
+{
+  if (const auto budget = std::exchange(mBudget, nullptr)) {
+    overload::SettleRetry(*budget, net::Now());
+  }
+}
+
 } // namespace tamarackweir::gateway
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -47,7 +47,8 @@
 /// to be the cause.
 inline constexpr int kMaxCrashes = 2;
 
-/// Whether the request is sent again; if so, charges the retry budget.
+/// Whether the request is sent again. If so, and if the attempt may have reached a server, opens a
+/// retry in the budget.
 bool MayRetry(attempt_result aResult, const attempt_history& aHistory,
               overload::retry_budget& aBudget, time_point aNow);
 
@@ -128,6 +129,25 @@
 void RecordLatency(latency_estimate& aLatency, duration aTime);
 
 /// The retry budget of a service, with this instance's share of the bounds.
-overload::retry_budget& BudgetOf(gateway_state& aState, const service_id& aService);
+std::shared_ptr<overload::retry_budget> BudgetOf(gateway_state& aState, const service_id& aService,
+                                                 time_point aNow);
+
+/// A retry that the budget has allowed. It is open until it is settled or destroyed; see
+/// `overload::TryOpenRetry`.
+class charged_retry
+{
+public:
+  charged_retry() = default;
+  explicit charged_retry(std::shared_ptr<overload::retry_budget> aBudget);
+  ~charged_retry();
+  charged_retry(charged_retry&&) = default;
+  charged_retry& operator=(charged_retry&& aOther) noexcept;
+
+  /// The retry has reached its server, or can't any more.
+  void Settle();
+
+private:
+  std::shared_ptr<overload::retry_budget> mBudget;
+};
 
 } // namespace tamarackweir::gateway
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -225,14 +225,17 @@
   return RefusalAfter(aResult, aCall.mRuns > 0, outlook, Draw(aState));
 }
 
-bool ConsumeRetry(gateway_state& aState, const call& aCall, attempt_result aResult)
+bool ConsumeRetry(gateway_state& aState, call& aCall, attempt_result aResult)
 {
   if (aCall.mCaller->IsGone() || IsEnding(aState) || IsQuarantined(aState, aCall)) {
     return false;
   }
-  overload::retry_budget& budget = BudgetOf(aState, aCall.mService);
-  const bool mayRetry = MayRetry(aResult, HistoryOf(aState, aCall), budget, net::Now());
-  const overload::budget_use use = overload::UseOf(budget, net::Now());
+  const auto budget = BudgetOf(aState, aCall.mService, net::Now());
+  const bool mayRetry = MayRetry(aResult, HistoryOf(aState, aCall), *budget, net::Now());
+  if (mayRetry && aResult != attempt_result::NotSent) {
+    aCall.mRetry = charged_retry(budget);
+  }
+  const overload::budget_use use = overload::UseOf(*budget, net::Now());
   observe::event_line("retry")
     .Text("request", aCall.mHeader.mAttempt)
     .Text("service", aCall.mService.Value())
@@ -425,6 +428,9 @@
   if (aOutcome.mAttempt == nullptr) {
     return;
   }
+  if (aOutcome.mResult != attempt_result::NotSent && !aOutcome.mIsReplaced) {
+    aCall.mRetry.Settle();
+  }
   const time_point now = net::Now();
   backends::backend_server& server = aOutcome.mAttempt->Server();
   const bool wasEndedHere = aCall.mCaller->IsGone() || aCall.mIsWithdrawn;
@@ -590,7 +596,7 @@
     co_await Refuse(aState, current, quarantined);
     co_return;
   }
-  overload::OnRequest(BudgetOf(aState, current.mService), net::Now());
+  overload::OnRequest(*BudgetOf(aState, current.mService, net::Now()), net::Now());
 
   const open_call open(aState, current);
   current.mCaller->OnGone([&current] {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -39,6 +39,7 @@
   std::optional<time_point> mAnswerBegan;   ///< when the current attempt's answer began to arrive
   bool mKeepsRunning = false;               ///< the attempt continues if the caller disconnects
   bool mIsWithdrawn = false; ///< closed here: it was quarantined, or the instance stops
+  charged_retry mRetry;      ///< of the current attempt
   int mCrashes = 0;          ///< servers that crashed just after they had begun to answer
 };
 
@@ -126,7 +127,7 @@
 void FinishAttempt(gateway_state& aState, call& aCall, attempt_outcome& aOutcome, duration aTime);
 
 /// Whether the request is retried; if so, charges the retry budget.
-bool ConsumeRetry(gateway_state& aState, const call& aCall, attempt_result aResult);
+bool ConsumeRetry(gateway_state& aState, call& aCall, attempt_result aResult);
 
 /// Sends an answer that was read completely.
 net::task<> SendAnswer(gateway_state& aState, call& aCall, attempt_outcome& aOutcome);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -94,7 +94,12 @@
   std::map<std::string, time_point> mSilentPeers;
 
   placement::prefix_caches mPrefixCaches;
-  std::unordered_map<service_id, overload::retry_budget> mBudgets;
+  /// Shared with the calls, as they may outlive the state at the end of the process.
+  std::unordered_map<service_id, std::shared_ptr<overload::retry_budget>> mBudgets;
+  overload::recent_most mMostInstances; ///< of `mInstances`, in the budgets' window
+  time_point mStartedAt{};
+  bool mKnowsInstances = false; ///< the list of instances was read, here or at a peer
+  bool mIsFirstStart = false;   ///< no process of the deployment has run before
   std::unordered_map<std::string, latency_estimate> mLatencies; ///< by route and model
   std::map<std::pair<service_id, model_id>, placement::engine_speed> mEngineSpeeds;
   /// Of the old version: time between a stream's events, by service and model; time of a plain
--- a/src/overload/retry.cpp
+++ b/src/overload/retry.cpp
@@ -16,9 +16,11 @@
   for (std::int64_t i = 0; i < passed; ++i) {
     const auto slot = static_cast<std::size_t>((current - i) % slots);
     aBudget.mRequests[slot] = 0;
-    aBudget.mRetries[slot] = 0;
   }
   aBudget.mNewestSlot = std::max(aBudget.mNewestSlot, current);
+  while (!aBudget.mRetries.empty() && aBudget.mRetries.front() <= aNow - aBudget.mWindow) {
+    aBudget.mRetries.pop_front();
+  }
 }
 
 std::size_t Slot(const retry_budget& aBudget)
@@ -26,14 +28,19 @@
   return static_cast<std::size_t>(aBudget.mNewestSlot) % retry_budget::kSlots;
 }
 
-bool TryCharge(retry_budget& aBudget, time_point aNow)
+bool HasRoom(retry_budget& aBudget, time_point aNow)
 {
   const budget_use use = UseOf(aBudget, aNow);
-  const bool isUnused = aBudget.mRatio > 0 && use.mRetries < 1;
-  if (!isUnused && use.mRetries + 1 > use.mMost) {
+  const bool isFirst = aBudget.mAllowsFirst && aBudget.mRatio > 0 && use.mRetries < 1;
+  return isFirst || use.mRetries + 1 <= use.mMost;
+}
+
+bool TryCharge(retry_budget& aBudget, time_point aNow)
+{
+  if (!HasRoom(aBudget, aNow)) {
     return false;
   }
-  ++aBudget.mRetries[Slot(aBudget)];
+  aBudget.mRetries.push_back(aNow);
   return true;
 }
 
@@ -42,17 +49,20 @@
   return aNow + aAttempt.mExpectedDuration < aAttempt.mDeadline;
 }
 
+bool IsRetryable(const attempt& aAttempt, time_point aNow)
+{
+  const bool isSafe = aAttempt.mIdempotent || aAttempt.mNotRun;
+  return isSafe && !aAttempt.mResponseStarted && HasTimeForAttempt(aAttempt, aNow);
+}
+
 } // namespace
 
 budget_use UseOf(retry_budget& aBudget, time_point aNow)
 {
   AdvanceWindow(aBudget, aNow);
-  const auto sum = [](const auto& aSlots) {
-    return std::accumulate(aSlots.begin(), aSlots.end(), 0.0);
-  };
-  const double requests = sum(aBudget.mRequests);
+  const double requests = std::accumulate(aBudget.mRequests.begin(), aBudget.mRequests.end(), 0.0);
   return { .mRequests = requests,
-           .mRetries = sum(aBudget.mRetries),
+           .mRetries = static_cast<double>(aBudget.mRetries.size()) + aBudget.mOpenRetries,
            .mMost = aBudget.mRatio * requests + aBudget.mFixedAllowance };
 }
 
@@ -64,9 +74,34 @@
 
 bool TryAcquireRetry(retry_budget& aBudget, const attempt& aAttempt, time_point aNow)
 {
-  const bool isSafe = aAttempt.mIdempotent || aAttempt.mNotRun;
-  return isSafe && !aAttempt.mResponseStarted && HasTimeForAttempt(aAttempt, aNow) &&
-         TryCharge(aBudget, aNow);
+  return IsRetryable(aAttempt, aNow) && TryCharge(aBudget, aNow);
+}
+
+bool TryOpenRetry(retry_budget& aBudget, const attempt& aAttempt, time_point aNow)
+{
+  if (!IsRetryable(aAttempt, aNow) || !HasRoom(aBudget, aNow)) {
+    return false;
+  }
+  ++aBudget.mOpenRetries;
+  return true;
+}
+
+void SettleRetry(retry_budget& aBudget, time_point aNow)
+{
+  aBudget.mOpenRetries -= std::min<std::uint32_t>(aBudget.mOpenRetries, 1);
+  aBudget.mRetries.push_back(aNow);
+}
+
+double MostOf(recent_most& aMost, double aValue, duration aWindow, time_point aNow)
+{
+  while (!aMost.mValues.empty() && aMost.mValues.back().second <= aValue) {
+    aMost.mValues.pop_back();
+  }
+  aMost.mValues.emplace_back(aNow, aValue);
+  while (aMost.mValues.front().first <= aNow - aWindow) {
+    aMost.mValues.pop_front();
+  }
+  return aMost.mValues.front().second;
 }
 
 void OnFirstToken(hedge_state& aState, duration aFirstToken)
