Bound every answer that tamarackweird and its command line read

The clients of engines, services, the store, objects, lists, ratings, orders and operators now use net::exchange, with a largest header and body and a limit for the whole call. A body that only its connection ends is no whole answer of a service.

--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -1,8 +1,8 @@
 #include "cli/operator_client.h"
 
 #include "base/digest.h"
+#include "net/http_call.h"
 
-#include <httplib.h>
 #include <random>
 
 namespace tamarackweir::cli {
@@ -13,14 +13,21 @@
 
 constexpr int kProposals = 5;
 
-httplib::Client Connect(const platform::endpoint& aInstance, const std::string& aKey)
+/// An answer of an instance, or nothing if none arrived whole.
+std::optional<net::http_result> Ask(const platform::endpoint& aInstance, const std::string& aKey,
+                                    const std::string& aTarget, const std::string& aBody = "")
 {
-  httplib::Client client(aInstance.mHost, aInstance.mPort);
-  client.set_connection_timeout(std::chrono::seconds(1));
-  client.set_read_timeout(std::chrono::seconds(30));
-  client.set_bearer_token_auth(aKey);
-  client.set_tcp_nodelay(true);
-  return client;
+  net::http_call call;
+  call.mServer = { net::asio::ip::make_address(aInstance.mHost),
+                   static_cast<std::uint16_t>(aInstance.mPort) };
+  call.mMethod = aBody.empty() ? net::http::verb::get : net::http::verb::post;
+  call.mTarget = aTarget;
+  call.mBody = aBody;
+  call.mHeader["Authorization"] = "Bearer " + aKey;
+  call.mConnectLimit = 1s;
+  call.mLimit = 30s;
+  net::http_result result = net::PerformHere(std::move(call));
+  return result.mFailure ? std::nullopt : std::optional(std::move(result));
 }
 
 /// The text that a refusal gives to a person: the problem's detail, or the whole body.
@@ -65,13 +72,13 @@
 json operator_client::Get(const std::string& aPath) const
 {
   for (const platform::endpoint& instance : mOptions.mInstances) {
-    const auto result = Connect(instance, mOptions.mKey).Get(aPath);
+    const auto result = Ask(instance, mOptions.mKey, aPath);
     if (!result) {
       continue;
     }
-    json body = json::parse(result->body, nullptr, false);
-    if (result->status != 200 || body.is_discarded()) {
-      throw command_error(exit_code::Refused, MessageOf(result->body));
+    json body = json::parse(result->mBody, nullptr, false);
+    if (result->mStatus != 200 || body.is_discarded()) {
+      throw command_error(exit_code::Refused, MessageOf(result->mBody));
     }
     return body;
   }
@@ -82,9 +89,9 @@
 {
   std::vector<json> answers;
   for (const platform::endpoint& instance : mOptions.mInstances) {
-    const auto result = Connect(instance, mOptions.mKey).Get(aPath);
-    if (result && result->status == 200) {
-      if (json body = json::parse(result->body, nullptr, false); !body.is_discarded()) {
+    const auto result = Ask(instance, mOptions.mKey, aPath);
+    if (result && result->mStatus == 200) {
+      if (json body = json::parse(result->mBody, nullptr, false); !body.is_discarded()) {
         answers.push_back(std::move(body));
       }
     }
@@ -101,20 +108,19 @@
   std::string last;
   for (int attempt = 0; attempt < kProposals; ++attempt) {
     for (const platform::endpoint& instance : mOptions.mInstances) {
-      const auto result = Connect(instance, mOptions.mKey)
-                            .Post("/operator/settings", body.dump(), "application/json");
+      const auto result = Ask(instance, mOptions.mKey, "/operator/settings", body.dump());
       if (!result) {
         continue; // the same change id makes it safe to ask another instance
       }
-      last = MessageOf(result->body);
-      const json answer = json::parse(result->body, nullptr, false);
-      if (result->status == 200 && answer.is_object()) {
+      last = MessageOf(result->mBody);
+      const json answer = json::parse(result->mBody, nullptr, false);
+      if (result->mStatus == 200 && answer.is_object()) {
         return { revision(answer.value("revision", std::uint64_t{ 0 })), last };
       }
-      if (result->status == 409) {
+      if (result->mStatus == 409) {
         throw command_error(exit_code::Conflict, last);
       }
-      if (result->status >= 400 && result->status < 500) {
+      if (result->mStatus >= 400 && result->mStatus < 500) {
         throw command_error(exit_code::Refused, last);
       }
     }
--- a/src/entry/engine_client.cpp
+++ b/src/entry/engine_client.cpp
@@ -3,38 +3,16 @@
 #include "base/error.h"
 #include "net/exchange.h"
 
-#include <httplib.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace tamarackweir::entry {
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
 
-httplib::Client Connect(const backend_call& aCall)
-{
-  httplib::Client client(aCall.mServer.mHost, aCall.mServer.mPort);
-  client.set_connection_timeout(aCall.mConnectTimeout);
-  client.set_read_timeout(aCall.mReadTimeout);
-  client.set_write_timeout(aCall.mReadTimeout);
-  client.set_tcp_nodelay(true);
-  return client;
-}
-
-httplib::Request MakeRequest(const backend_call& aCall)
-{
-  httplib::Request request;
-  request.method = "POST";
-  request.path = aCall.mPath;
-  request.body = aCall.mBody;
-  for (const auto& [name, value] : aCall.mHeaders) {
-    request.set_header(name, value);
-  }
-  request.set_header("Content-Type", "application/json");
-  return request;
-}
-
 bool SaysNotRun(const std::string& aBody)
 {
   const auto body = nlohmann::json::parse(aBody, nullptr, false);
@@ -50,17 +28,6 @@
   return { succeeded ? call_end::Complete : call_end::Rejected, aStatus, aBody };
 }
 
-call_result Classify(const httplib::Result& aResult, const std::string& aBody)
-{
-  if (!aResult) {
-    const bool notSent = aResult.error() == httplib::Error::Connection ||
-                         aResult.error() == httplib::Error::ConnectionTimeout ||
-                         aResult.error() == httplib::Error::BindIPAddress;
-    return { notSent ? call_end::NotSent : call_end::Broken, 0, "" };
-  }
-  return ClassifyAnswer(aResult->status, aBody);
-}
-
 std::shared_ptr<const net::outbound_request> PlainRequest(const backend_call& aCall)
 {
   auto request = std::make_shared<net::outbound_request>(net::http::verb::post, aCall.mPath, 11);
@@ -84,102 +51,160 @@
            .mUnacknowledged = aCall.mReadTimeout };
 }
 
-net::task<> CallOver(std::shared_ptr<net::exchange> aConnection, const backend_call& aCall,
-                     call_result& aResult)
+/// A call on its connection.
+struct open_call
 {
-  const net::tcp::endpoint server(net::asio::ip::make_address(aCall.mServer.mHost),
-                                  static_cast<std::uint16_t>(aCall.mServer.mPort));
-  net::error_code failure =
-    co_await aConnection->Connect(server, aCall.mConnectTimeout, SilenceLimits(aCall));
+  const backend_call& mCall;
+  std::shared_ptr<net::exchange> mConnection;
+  time_point mEnd{}; ///< of the whole call
+
+  duration NextWait() const
+  {
+    return std::clamp(mEnd - net::Now(), duration::zero(), mCall.mReadTimeout);
+  }
+};
+
+/// Connects, sends the request and reads the header of the answer. Returns whether that arrived;
+/// otherwise `aResult` holds why not.
+net::task<bool> Begin(open_call& aCall, call_result& aResult)
+{
+  aCall.mEnd = net::Now() + aCall.mCall.mLimit;
+  const net::tcp::endpoint server(net::asio::ip::make_address(aCall.mCall.mServer.mHost),
+                                  static_cast<std::uint16_t>(aCall.mCall.mServer.mPort));
+  net::error_code failure = co_await aCall.mConnection->Connect(server, aCall.mCall.mConnectTimeout,
+                                                                SilenceLimits(aCall.mCall));
   if (!failure) {
     aResult.mEnd = call_end::Broken;
-    aConnection->Send(PlainRequest(aCall));
-    failure = co_await aConnection->ReadHeader(aCall.mReadTimeout);
+    aCall.mConnection->Send(PlainRequest(aCall.mCall));
+    failure = co_await aCall.mConnection->ReadHeader(aCall.NextWait());
   }
+  co_return !failure;
+}
+
+/// Reads an answer that is not a stream. `aResult` is as before if it does not arrive whole.
+net::task<> ReadPlain(open_call& aCall, call_result& aResult)
+{
   std::string body;
-  while (!failure && !aConnection->IsComplete()) {
-    failure = co_await aConnection->ReadSome(body, aCall.mReadTimeout);
+  net::error_code failure;
+  while (!failure && body.size() <= kMaxAnswerBytes && !aCall.mConnection->IsComplete()) {
+    failure = co_await aCall.mConnection->ReadSome(body, aCall.NextWait());
   }
-  if (!failure) {
-    aResult = ClassifyAnswer(static_cast<int>(aConnection->Header().result_int()), body);
+  if (!failure && body.size() <= kMaxAnswerBytes &&
+      aCall.mConnection->Framing() != net::body_framing::Connection) {
+    aResult =
+      ClassifyAnswer(static_cast<int>(aCall.mConnection->Header().result_int()), std::move(body));
   }
-  aConnection->Close();
 }
 
-} // namespace
+net::task<> CallOver(open_call aCall, call_result& aResult)
+{
+  if (co_await Begin(aCall, aResult)) {
+    co_await ReadPlain(aCall, aResult);
+  }
+  aCall.mConnection->Close();
+}
 
-bool IsTimeout(call_end aEnd, duration aSilence, duration aReadTimeout)
+/// Reads what follows the last event, so that the engine sees its answer taken to the end. Servers
+/// that reset the connection there have sent the answer whole all the same.
+net::task<> ReadRest(open_call& aCall)
 {
-  constexpr duration kClientGrain = 1ms;
-  return aEnd == call_end::Broken && aSilence + kClientGrain >= aReadTimeout;
+  constexpr duration kLongestRest = 200ms;
+  constexpr std::size_t kMostRest = std::size_t{ 64 } * 1024;
+  aCall.mEnd = std::min(aCall.mEnd, net::Now() + kLongestRest);
+  std::string rest;
+  net::error_code failure;
+  while (!failure && rest.size() < kMostRest && !aCall.mConnection->IsComplete()) {
+    failure = co_await aCall.mConnection->ReadSome(rest, aCall.NextWait());
+  }
 }
 
-call_result CallStreaming(const backend_call& aCall, const request_id& aRequest,
-                          const event_receiver& aOnEvent)
+net::task<> ReadStream(open_call& aCall, const event_receiver& aOnEvent, call_result& aResult)
 {
-  httplib::Client client = Connect(aCall);
-  httplib::Request request = MakeRequest(aCall);
   relay::sse_decoder decoder;
-  std::string errorBody;
-  bool isStream = false;
-  bool isOther = false;
-  bool cancelled = false;
-  bool finished = false;
-  bool isMalformed = false;
-  request.response_handler = [&](const httplib::Response& aResponse) {
-    isStream = aResponse.status == 200;
-    isOther = isStream && aResponse.get_header_value("Tamarackweir-Request") != aRequest.Value();
-    return !isOther;
-  };
-  request.content_receiver = [&](const char* aData, std::size_t aLength, std::uint64_t,
-                                 std::uint64_t) {
-    if (!isStream) {
-      errorBody.append(aData, aLength);
-      return true;
+  std::string bytes;
+  while (!aCall.mConnection->IsComplete()) {
+    bytes.clear();
+    if (const net::error_code failure =
+          co_await aCall.mConnection->ReadSome(bytes, aCall.NextWait())) {
+      co_return;
     }
     std::vector<relay::sse_event> events;
     try {
-      events = relay::Decode(decoder, { aData, aLength });
+      events = relay::Decode(decoder, bytes);
     } catch (const error&) {
-      isMalformed = true;
-      return false;
+      aResult = { call_end::Rejected, kOk, "an event of the answer exceeds the size limit" };
+      co_return;
     }
+    bool isFinished = false;
     for (const relay::sse_event& event : events) {
-      finished = finished || event.mData == "[DONE]";
-      cancelled = !aOnEvent(event);
-      if (cancelled) {
-        return false;
+      isFinished = isFinished || event.mData == "[DONE]";
+      if (!aOnEvent(event)) {
+        aResult = { call_end::Cancelled, 0, "" };
+        co_return;
       }
     }
-    return true;
-  };
-  const httplib::Result result = client.send(request);
-  if (isMalformed) {
-    return { call_end::Rejected, 200, "an event of the answer exceeds the size limit" };
-  }
-  if (isOther) {
-    return { call_end::Rejected, 200, "the answer belongs to another request" };
-  }
-  if (cancelled) {
-    return { call_end::Cancelled, 0, "" };
+    if (isFinished) {
+      co_await ReadRest(aCall);
+      aResult = { call_end::Complete, kOk, "" };
+      co_return;
+    }
+    if (net::Now() >= aCall.mEnd) {
+      co_return;
+    }
   }
-  call_result classified = Classify(result, errorBody);
-  // Some servers reset the connection right after the last event; the answer is whole all the same.
-  if (isStream) {
-    classified.mEnd = finished ? call_end::Complete : call_end::Broken;
+}
+
+net::task<> StreamOver(open_call aCall, const request_id& aRequest, const event_receiver& aOnEvent,
+                       call_result& aResult)
+{
+  if (co_await Begin(aCall, aResult)) {
+    const auto& header = aCall.mConnection->Header();
+    if (header.result_int() != kOk) {
+      co_await ReadPlain(aCall, aResult);
+    } else if (header["Tamarackweir-Request"] != aRequest.Value()) {
+      aResult = { call_end::Rejected, kOk, "the answer belongs to another request" };
+    } else {
+      co_await ReadStream(aCall, aOnEvent, aResult);
+    }
   }
-  return classified;
+  aCall.mConnection->Close();
 }
 
-call_result CallPlain(const backend_call& aCall)
+/// Runs a call on a loop of its own, since the calls of this program wait in threads.
+template<class Task>
+call_result RunCall(const backend_call& aCall, Task aTask)
 {
-  // cpp-httplib takes a body for whole that is cut within the line end of a chunk.
   net::asio::io_context loop{ 1 };
   call_result result;
-  net::Spawn(loop.get_executor(), "service_call",
-             CallOver(std::make_shared<net::exchange>(loop.get_executor()), aCall, result));
+  net::Spawn(loop.get_executor(), "backend_call",
+             aTask(open_call{ .mCall = aCall,
+                              .mConnection = std::make_shared<net::exchange>(loop.get_executor()) },
+                   result));
   net::Run(loop);
   return result;
 }
 
+} // namespace
+
+bool IsTimeout(call_end aEnd, duration aSilence, duration aReadTimeout)
+{
+  constexpr duration kClientGrain = 1ms;
+  return aEnd == call_end::Broken && aSilence + kClientGrain >= aReadTimeout;
+}
+
+call_result CallStreaming(const backend_call& aCall, const request_id& aRequest,
+                          const event_receiver& aOnEvent)
+{
+  return RunCall(aCall, [&](open_call aOpen, call_result& aResult) {
+    return StreamOver(std::move(aOpen), aRequest, aOnEvent, aResult);
+  });
+}
+
+call_result CallPlain(const backend_call& aCall)
+{
+  return RunCall(aCall, [](open_call aOpen, call_result& aResult) {
+    return CallOver(std::move(aOpen), aResult);
+  });
+}
+
 } // namespace tamarackweir::entry
--- a/src/entry/engine_client.h
+++ b/src/entry/engine_client.h
@@ -20,8 +20,12 @@
   std::map<std::string, std::string> mHeaders;
   duration mConnectTimeout = 500ms;
   duration mReadTimeout = 30s; ///< longest wait between two pieces of the answer
+  duration mLimit = 60s;       ///< from the connect to the last byte of the answer
 };
 
+/// Largest body in bytes of an answer that is not a stream. A longer one is `Broken`.
+inline constexpr std::size_t kMaxAnswerBytes = std::size_t{ 16 } << 20U;
+
 /// How a call to a backend server ended.
 enum class call_end
 {
@@ -42,8 +46,8 @@
   std::string mBody;
 };
 
-/// Whether a call that broke did so because its wait for the next piece ran out. The HTTP client
-/// reports both alike, and waits for whole milliseconds only.
+/// Whether a call that broke did so because its wait for the next piece ran out. Timers have a
+/// grain of a millisecond.
 /// \param aSilence since the last piece of the answer, or since the call was sent
 bool IsTimeout(call_end aEnd, duration aSilence, duration aReadTimeout);
 
@@ -55,7 +59,8 @@
 call_result CallStreaming(const backend_call& aCall, const request_id& aRequest,
                           const event_receiver& aOnEvent);
 
-/// Calls a plain service and waits for the whole answer.
+/// Calls a plain service and waits for the whole answer. One that only the end of its connection
+/// ends is `Broken`, because nothing tells it from an answer whose service has ended.
 call_result CallPlain(const backend_call& aCall);
 
 } // namespace tamarackweir::entry
--- a/src/entry/platform_actors.cpp
+++ b/src/entry/platform_actors.cpp
@@ -2,8 +2,7 @@
 
 #include "base/log.h"
 #include "entry/actor_messages.h"
-
-#include <httplib.h>
+#include "net/http_call.h"
 
 namespace tamarackweir::entry {
 
@@ -133,18 +132,23 @@
       return; // the lease may have passed to another driver
     }
     const platform::endpoint engine = platform::ParseEndpoint(order.mAddress);
-    httplib::Client client(engine.mHost, engine.mPort);
-    client.set_connection_timeout(kLoadCall.mConnectTimeout);
-    client.set_read_timeout(std::chrono::seconds(2));
+    net::http_call call;
+    call.mServer = { net::asio::ip::make_address(engine.mHost),
+                     static_cast<std::uint16_t>(engine.mPort) };
+    call.mMethod = net::http::verb::post;
+    call.mTarget = "/orders";
+    call.mConnectLimit = kLoadCall.mConnectTimeout;
+    call.mLimit = 2s;
     const json body{ { "order",
                        order.mOrder.mKind == rollout::engine_order_kind::Load ? "load" : "unload" },
                      { "version", ToString(order.mOrder.mVersion) },
                      { "fencing", order.mOrder.mFencing.Value() } };
-    const auto result = client.Post("/orders", body.dump(), "application/json");
+    call.mBody = body.dump();
+    const net::http_result result = net::PerformHere(std::move(call));
     Log(log_level::Info, "engine_order_sent",
         { { "server", order.mOrder.mServer.Value() },
           { "order", body },
-          { "status", result ? result->status : 0 } });
+          { "status", result.mFailure ? 0 : result.mStatus } });
   } };
 }
 
--- a/src/entry/stage.cpp
+++ b/src/entry/stage.cpp
@@ -173,10 +173,10 @@
   if (aLastEventId) {
     call.mHeaders["Last-Event-ID"] = std::to_string(*aLastEventId);
   }
-  // The HTTP client takes no timeout of zero for "at once", and the deadline may have passed
-  // meanwhile.
+  // The deadline may have passed meanwhile.
   call.mReadTimeout = std::clamp(aRun.mRelay.mCall.mDeadline - Now(aRun.mRuntime.mSystem),
                                  duration(10ms), aRun.mRelay.mOptions.mIdleTimeout);
+  call.mLimit = std::max(aRun.mRelay.mCall.mDeadline - Now(aRun.mRuntime.mSystem), duration(10ms));
   return call;
 }
 
@@ -230,7 +230,8 @@
            outcome.mNext.mNext == relay::next_step::Finish;
   });
   outcome.mTimedOut = outcome.mTimedOut ||
-                      IsTimeout(outcome.mCall.mEnd, Now(system) - lastArrival, call.mReadTimeout);
+                      IsTimeout(outcome.mCall.mEnd, Now(system) - lastArrival, call.mReadTimeout) ||
+                      IsTimeout(outcome.mCall.mEnd, Now(system) - sentAt, call.mLimit);
   aRun.mRuntime.mSpans.Add(
     { .mContext = context,
       .mParentId = aRun.mStage.mTrace.mSpanId,
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -2,6 +2,7 @@
 
 #include "net/exchange.h"
 
+#include <map>
 #include <string>
 
 namespace tamarackweir::net {
@@ -12,8 +13,11 @@
   tcp::endpoint mServer;
   http::verb mMethod = http::verb::get;
   std::string mTarget;
-  std::string mBody;    ///< JSON; empty: none
-  duration mLimit = 1s; ///< from the connect to the last byte
+  std::string mBody; ///< empty: none
+  std::string mContentType = "application/json";
+  std::map<std::string, std::string> mHeader;
+  duration mConnectLimit = 500ms; ///< an address that does not answer is down
+  duration mLimit = 1s;           ///< from the connect to the last byte
   std::size_t mMaxAnswerBytes = 1U << 24U;
   silence_limits mSilence;
 };
@@ -30,4 +34,7 @@
 /// Performs a call on a connection of its own.
 task<http_result> Perform(asio::any_io_executor aExecutor, http_call aCall);
 
+/// The same in a thread that waits for it.
+http_result PerformHere(http_call aCall);
+
 } // namespace tamarackweir::net
--- a/src/platform/http_clients.cpp
+++ b/src/platform/http_clients.cpp
@@ -1,6 +1,9 @@
 #include "platform/http_clients.h"
 
-#include <httplib.h>
+#include "net/http_call.h"
+
+#include <array>
+#include <cstdio>
 
 namespace tamarackweir::platform {
 
@@ -8,33 +11,65 @@
 
 namespace {
 
-constexpr const char* kJson = "application/json";
+using net::http::verb;
 
-httplib::Client Connect(const endpoint& aServer, const call_options& aOptions)
+net::http_call Call(const endpoint& aServer, verb aMethod, const std::string& aTarget,
+                    const call_options& aOptions)
 {
-  httplib::Client client(aServer.mHost, aServer.mPort);
-  client.set_connection_timeout(aOptions.mConnectTimeout);
-  client.set_read_timeout(aOptions.mTimeout);
-  client.set_write_timeout(aOptions.mTimeout);
-  // The small requests of these clients would wait for the acknowledgement of their header
-  // otherwise.
-  client.set_tcp_nodelay(true);
-  return client;
+  net::http_call call;
+  call.mServer = { net::asio::ip::make_address(aServer.mHost),
+                   static_cast<std::uint16_t>(aServer.mPort) };
+  call.mMethod = aMethod;
+  call.mTarget = aTarget;
+  call.mConnectLimit = aOptions.mConnectTimeout;
+  call.mLimit = aOptions.mConnectTimeout + aOptions.mTimeout;
+  return call;
 }
 
-/// Parses a body; a body that is not JSON counts as no answer.
-std::optional<json> ParseBody(const httplib::Result& aResult)
+net::http_result Post(const endpoint& aServer, const std::string& aTarget, const json& aBody,
+                      const call_options& aOptions)
 {
-  if (!aResult) {
+  net::http_call call = Call(aServer, verb::post, aTarget, aOptions);
+  call.mBody = aBody.dump();
+  return net::PerformHere(std::move(call));
+}
+
+net::http_result Get(const endpoint& aServer, const std::string& aTarget,
+                     const call_options& aOptions)
+{
+  return net::PerformHere(Call(aServer, verb::get, aTarget, aOptions));
+}
+
+/// Parses the body of a whole answer; a body that is not JSON counts as no answer.
+std::optional<json> ParseBody(const net::http_result& aResult)
+{
+  if (aResult.mFailure) {
     return std::nullopt;
   }
-  json body = json::parse(aResult->body, nullptr, false);
+  json body = json::parse(aResult.mBody, nullptr, false);
   if (body.is_discarded()) {
     return std::nullopt;
   }
   return body;
 }
 
+/// Percent-encodes all but the unreserved characters of RFC 3986.
+std::string Encode(const std::string& aText)
+{
+  std::string encoded;
+  for (const char character : aText) {
+    if (std::isalnum(static_cast<unsigned char>(character)) != 0 ||
+        std::string_view("-._~/").find(character) != std::string_view::npos) {
+      encoded += character;
+      continue;
+    }
+    std::array<char, 4> code{};
+    std::snprintf(code.data(), code.size(), "%%%02X", static_cast<unsigned char>(character));
+    encoded += code.data();
+  }
+  return encoded;
+}
+
 std::vector<row> ParseRows(const json& aRows)
 {
   std::vector<row> rows;
@@ -59,16 +94,14 @@
   for (const auto& [key, value] : aTransaction.mPut) {
     body["put"].push_back({ { "key", key }, { "value", value } });
   }
-  httplib::Client client = Connect(aTable, aOptions);
-  const auto result = client.Post("/txn", body.dump(), kJson);
-  if (result.error() == httplib::Error::Connection ||
-      result.error() == httplib::Error::ConnectionTimeout || (result && result->status == 429)) {
+  const net::http_result result = Post(aTable, "/txn", body, aOptions);
+  if (!result.mMayBeDone || (!result.mFailure && result.mStatus == 429)) {
     return { commit_status::Unreachable, {} };
   }
   try {
-    if (const auto answer = ParseBody(result); answer && result->status == 200) {
+    if (const auto answer = ParseBody(result); answer && result.mStatus == 200) {
       return { commit_status::Committed, {} };
-    } else if (answer && result->status == 409) {
+    } else if (answer && result.mStatus == 409) {
       return { commit_status::Conflict, ParseRows(answer->at("conflicts")) };
     }
   } catch (const json::exception&) {
@@ -83,10 +116,9 @@
   if (!aRequest.mPrefix.empty()) {
     body["prefix"] = aRequest.mPrefix;
   }
-  httplib::Client client = Connect(aTable, aOptions);
-  const auto result = client.Post("/read", body.dump(), kJson);
+  const net::http_result result = Post(aTable, "/read", body, aOptions);
   try {
-    if (const auto answer = ParseBody(result); answer && result->status == 200) {
+    if (const auto answer = ParseBody(result); answer && result.mStatus == 200) {
       return { true, ParseRows(answer->at("rows")) };
     }
   } catch (const json::exception&) {
@@ -98,28 +130,28 @@
 bool PutObject(const endpoint& aStore, const std::string& aKey, const std::string& aBytes,
                const call_options& aOptions)
 {
-  httplib::Client client = Connect(aStore, aOptions);
-  const auto result = client.Put("/objects/" + aKey, aBytes, "application/octet-stream");
-  return result && result->status >= 200 && result->status < 300;
+  net::http_call call = Call(aStore, verb::put, "/objects/" + aKey, aOptions);
+  call.mBody = aBytes;
+  call.mContentType = "application/octet-stream";
+  const net::http_result result = net::PerformHere(std::move(call));
+  return !result.mFailure && result.mStatus >= 200 && result.mStatus < 300;
 }
 
 std::optional<std::string> GetObject(const endpoint& aStore, const std::string& aKey,
                                      const call_options& aOptions)
 {
-  httplib::Client client = Connect(aStore, aOptions);
-  const auto result = client.Get("/objects/" + aKey);
-  if (!result || result->status != 200) {
+  net::http_result result = Get(aStore, "/objects/" + aKey, aOptions);
+  if (result.mFailure || result.mStatus != 200) {
     return std::nullopt;
   }
-  return result->body;
+  return std::move(result.mBody);
 }
 
 std::optional<std::vector<std::string>> ListObjects(const endpoint& aStore,
                                                     const std::string& aPrefix,
                                                     const call_options& aOptions)
 {
-  const auto answer =
-    GetJson(aStore, "/objects?prefix=" + httplib::detail::encode_query_param(aPrefix), aOptions);
+  const auto answer = GetJson(aStore, "/objects?prefix=" + Encode(aPrefix), aOptions);
   if (!answer || !answer->contains("keys")) {
     return std::nullopt;
   }
@@ -130,20 +162,19 @@
                                            const call_options& aOptions)
 {
   constexpr int kNotModified = 304;
-  httplib::Client client = Connect(aList, aOptions);
-  httplib::Headers headers;
+  net::http_call call = Call(aList, verb::get, "/instances", aOptions);
   if (!aEntityTag.empty()) {
-    headers.emplace("If-None-Match", aEntityTag);
+    call.mHeader["If-None-Match"] = aEntityTag;
   }
-  const auto result = client.Get("/instances", headers);
-  if (result && result->status == kNotModified) {
+  const net::http_result result = net::PerformHere(std::move(call));
+  if (!result.mFailure && result.mStatus == kNotModified) {
     return instance_list{ true, {}, aEntityTag };
   }
   const auto answer = ParseBody(result);
-  if (!answer || result->status != 200) {
+  if (!answer || result.mStatus != 200) {
     return std::nullopt;
   }
-  instance_list list{ false, {}, result->get_header_value("ETag") };
+  instance_list list{ false, {}, std::string(result.mHeader["ETag"]) };
   try {
     for (const json& entry : answer->at("instances")) {
       list.mInstances.push_back(
@@ -164,13 +195,12 @@
                            const model_id& aModel, const std::string& aKind,
                            const std::string& aAnswer, const call_options& aOptions)
 {
-  httplib::Client client = Connect(aRating, aOptions);
   const json body{ { "request_id", aRequest.Value() },
                    { "model", aModel.Value() },
                    { "kind", aKind },
                    { "answer", aAnswer } };
-  const auto result = client.Post("/ratings", body.dump(), kJson);
-  if (const auto answer = ParseBody(result); answer && result->status == 200 &&
+  const net::http_result result = Post(aRating, "/ratings", body, aOptions);
+  if (const auto answer = ParseBody(result); answer && result.mStatus == 200 &&
                                              answer->contains("score") &&
                                              answer->at("score").is_number()) {
     return answer->at("score").get<double>();
@@ -181,10 +211,9 @@
 std::optional<json> GetJson(const endpoint& aServer, const std::string& aPath,
                             const call_options& aOptions)
 {
-  httplib::Client client = Connect(aServer, aOptions);
-  const auto result = client.Get(aPath);
+  const net::http_result result = Get(aServer, aPath, aOptions);
   auto answer = ParseBody(result);
-  if (!answer || result->status != 200) {
+  if (!answer || result.mStatus != 200) {
     return std::nullopt;
   }
   return answer;
