Ask the server that was used, not its address, about an answer's end

Callers saw, in a test: a stream whose address belonged to another server by its end ended as complete after event 2.

The question named no server, and an answer that states neither id nor born counted as proof, so a 404 of another service's server confirmed the end. Failed first (the SIGSEGV that followed it is from objects of two states of standins_test.h in one program, not from the code):

stream_end_test.cpp:122: ERROR: CHECK( world.AskForStream().mFailure ) is NOT correct! values: CHECK( system:0 )

--- a/src/gateway/answer_end.cpp
+++ b/src/gateway/answer_end.cpp
@@ -16,7 +16,8 @@
 /// Whether a statement may come from this start of the server.
 bool IsSameStart(const server_statement& aStatement, const backends::announcement& aServer)
 {
-  return (!aStatement.mServer || *aStatement.mServer == aServer.mId) &&
+  return !aStatement.mIsWrongServer &&
+         (!aStatement.mServer || *aStatement.mServer == aServer.mId) &&
          (aStatement.mStartId == 0 || aServer.mStartId == 0 ||
           aStatement.mStartId == aServer.mStartId);
 }
@@ -52,6 +53,7 @@
   question.mTarget = service->second.mStatementTarget;
   question.mLimit = limit;
   question.mMaxAnswerBytes = kMaxStatementBytes;
+  aState.mDialect.mWriteQuestion(server.mId, question);
   const net::http_result answer =
     co_await net::Perform(aCall.mCaller->Executor(), std::move(question));
   const bool isCertain =
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -54,6 +54,7 @@
 /// What a backend server states of itself when it is asked.
 struct server_statement
 {
+  bool mIsWrongServer = false; ///< another server now uses the address
   std::optional<server_id> mServer;
   std::int64_t mStartId = 0; ///< changes on each start; 0: not given
 };
@@ -72,6 +73,8 @@
   /// Writes the header of the answer to the caller: the server's without hop-by-hop fields.
   void (*mWriteAnswer)(const net::http::response_header<>&,
                        net::http::response_header<>&) = nullptr;
+  /// Addresses a call to one server, as its address may be another's by now.
+  void (*mWriteQuestion)(const server_id&, net::http_call&) = nullptr;
   /// Reads the answer to `routing::service::mStatementTarget`.
   server_statement (*mReadStatement)(const net::http_result&) = nullptr;
   /// Adds the attempt's id to an answer that the gateway generates itself.
