Keep a failure a failure if its end is in doubt

A 5xx without a length whose server did not answer the question became a broken attempt: it was no bad result of a new version any more, and a retry waited for the answer to the question. Failed first: the attempts counted as failures were not 2:

stream_end_test.cpp:171: ERROR: CHECK( world.Ask(one.MetricsAddress(), "/metrics").mBody.find(counted) != std::string::npos ) is NOT correct!

The end of a failure is asked about only when it is passed on; in doubt the caller still gets 502. stream_end_test 11 of 11, cut_answers_test 1 of 1.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -414,7 +414,8 @@
         failure == net::asio::error::timed_out ? attempt_result::TimedOut : attempt_result::Broken;
       co_return outcome;
     }
-    if (!co_await IsEndCertain(aState, aCall, outcome)) {
+    // A failure is one however its body ends; its end matters once it is passed on.
+    if (header.result_int() < 500 && !co_await IsEndCertain(aState, aCall, outcome)) {
       co_return outcome;
     }
   }
--- a/src/gateway/forward_plain.cpp
+++ b/src/gateway/forward_plain.cpp
@@ -1,3 +1,4 @@
+#include "gateway/answer_end.h"
 #include "gateway/call.h"
 #include "gateway/crash_reports.h"
 
@@ -28,7 +29,8 @@
     if (outcome.mIsReplaced || ConsumeRetry(aState, aCall, outcome.mResult)) {
       continue;
     }
-    if (outcome.mResult == attempt_result::Failure) {
+    if (outcome.mResult == attempt_result::Failure &&
+        co_await IsEndCertain(aState, aCall, outcome)) {
       co_await SendAnswer(aState, aCall, outcome);
       co_return;
     }
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -323,7 +323,8 @@
       LogEnd(aState, aCall, 200, "broken_off");
       co_return;
     }
-    if (isWhole) {
+    if (isWhole &&
+        (result == attempt_result::Success || co_await IsEndCertain(aState, aCall, outcome))) {
       co_await SendAnswer(aState, aCall, outcome);
       co_return;
     }
