Log an answer's end that nobody can be asked about

Without a target or time to ask, the end was doubtful without a log line. No test asserts the line; stream_end_test 11 of 11 passed with it.

--- a/src/gateway/answer_end.cpp
+++ b/src/gateway/answer_end.cpp
@@ -46,6 +46,13 @@
   const duration limit = std::min(kStatementLimit, aCall.mDeadline - asked);
   if (service == aCall.mRoutes->mServices.end() || service->second.mStatementTarget.empty() ||
       limit <= duration::zero()) {
+    observe::event_line("answer_end")
+      .Text("request", aCall.mHeader.mAttempt)
+      .Text("server", server.mId.Value())
+      .Flag("certain", false)
+      .Text("reason", limit <= duration::zero() ? "no time to ask" : "nowhere to ask")
+      .Write();
+    aState.mMetrics.Count("tamarackweir_answer_ends_total", { { "certain", "no" } });
     co_return false;
   }
   net::http_call question;
