When memory for answers is short, the largest gives way

Cause: the budget refused the claim that asked, whatever its size.

Change: a claim that finds the budget short takes the place of the largest one that is still being read and is larger than itself; that answer is given up at once, its attempt counts as broken. Answers that are whole and being delivered keep their memory. The look at all holders is made only when memory is short. `answer_given_up` says which answer it was and why, also for claims that are refused; tamarackweir_answers_given_up_total counts both.

The streams' side has no test of its own.

--- a/src/gateway/answer_end.cpp
+++ b/src/gateway/answer_end.cpp
@@ -78,4 +78,22 @@
   co_return isCertain;
 }
 
+void LogGivenUp(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome)
+{
+  if (aOutcome.mReadFailure != net::asio::error::no_buffer_space) {
+    return;
+  }
+  const bool gaveWay = aOutcome.mBodyClaim.IsGivenUp();
+  observe::event_line("answer_given_up")
+    .Text("request", aCall.mHeader.mAttempt)
+    .Text("server", aOutcome.mAttempt->Server().mAnnounced.mId.Value())
+    .Text("reason", gaveWay ? "memory is short, the largest gave way to a smaller one"
+                            : "memory is short, none that can give way is larger")
+    .Number("bytes", static_cast<std::int64_t>(aOutcome.mBodyClaim.Bytes()))
+    .Number("held", static_cast<std::int64_t>(aState.mAnswerBudget->mUsed))
+    .Write();
+  aState.mMetrics.Count("tamarackweir_answers_given_up_total",
+                        { { "reason", gaveWay ? "gave_way" : "refused" } });
+}
+
 } // namespace tamarackweir::gateway
--- a/src/gateway/answer_end.h
+++ b/src/gateway/answer_end.h
@@ -38,4 +38,8 @@
 net::task<bool> IsEndCertain(gateway_state& aState, const call& aCall,
                              const attempt_outcome& aOutcome);
 
+/// Reports an answer that was given up because the memory for answers is short; does nothing for
+/// other failures.
+void LogGivenUp(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome);
+
 } // namespace tamarackweir::gateway
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -410,6 +410,7 @@
       outcome.mBody, kMaxAnswerBytes, aCall.mDeadline - net::Now(), &outcome.mBodyClaim);
     if (failure) {
       outcome.mReadFailure = failure;
+      LogGivenUp(aState, aCall, outcome);
       outcome.mResult =
         failure == net::asio::error::timed_out ? attempt_result::TimedOut : attempt_result::Broken;
       co_return outcome;
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -79,6 +79,10 @@
 {
   net::exchange& exchange = *aOutcome.mExchange;
   relay::sse_splitter events{ .mNeedsIds = aDelivery.mLastEvent.has_value() };
+  const net::way_giver givesWay(&aOutcome.mBodyClaim, [&events, &exchange] {
+    std::string().swap(events.mIncompleteEvent);
+    exchange.Close();
+  });
   std::string bytes;
   bool isFirst = true;
   stream_pace pace;
@@ -100,8 +104,12 @@
     if (aCall.mCaller->IsGone()) {
       co_return run_end::CallerLeft;
     }
+    if (aOutcome.mBodyClaim.IsGivenUp()) {
+      failure = net::asio::error::no_buffer_space;
+    }
     if (failure) {
       aOutcome.mReadFailure = failure;
+      LogGivenUp(aState, aCall, aOutcome);
       co_return failure == net::asio::error::timed_out ? run_end::Stalled : run_end::Broken;
     }
     aOutcome.mAttempt->Server().mLastByte = net::Now();
@@ -117,6 +125,7 @@
     }
     if (!aOutcome.mBodyClaim.TryResize(events.mIncompleteEvent.capacity())) {
       aOutcome.mReadFailure = net::asio::error::no_buffer_space;
+      LogGivenUp(aState, aCall, aOutcome);
       co_return run_end::Broken;
     }
     if (completeEvents.mFault != nullptr) {
@@ -150,7 +159,8 @@
     }
   }
   // A body that ends with its connection can't show that it was cut, but an unfinished event does.
-  co_return events.mIncompleteEvent.empty() ? run_end::Complete : run_end::Broken;
+  co_return events.mIncompleteEvent.empty() && !aOutcome.mBodyClaim.IsGivenUp() ? run_end::Complete
+                                                                                : run_end::Broken;
 }
 
 /// Moves the call to a larger model if that one is to run instead of delivering this answer, and
--- a/src/net/byte_budget.h
+++ b/src/net/byte_budget.h
@@ -1,18 +1,33 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <set>
 #include <utility>
 
 namespace tamarackweir::net {
 
+/// One user of a budget.
+struct byte_holder
+{
+  std::size_t mBytes = 0;
+  std::function<void()> mGiveUp; ///< releases the bytes at once; empty: they must be kept
+  bool mIsGivenUp = false;
+};
+
 /// Bytes that all holders together may keep in memory. Used on the event loop only.
 struct byte_budget
 {
   std::size_t mLimit = 0;
   std::size_t mUsed = 0;
+  std::set<byte_holder*> mHolders;
 };
 
+/// Makes the largest holder above `aBytes` that can do so give up its bytes. Returns false if there
+/// is none. What is left then has room for `aBytes`.
+bool GiveUpLargest(byte_budget& aBudget, std::size_t aBytes);
+
 /// What one holder uses of a budget; returned when the claim is destroyed. Without a budget a claim
 /// is never refused.
 class byte_claim
@@ -21,44 +36,71 @@
   byte_claim() = default;
   explicit byte_claim(std::shared_ptr<byte_budget> aBudget)
     : mBudget(std::move(aBudget))
+    , mHolder(std::make_unique<byte_holder>())
   {
+    mBudget->mHolders.insert(mHolder.get());
   }
-  byte_claim(byte_claim&& aOther) noexcept
-    : mBudget(std::move(aOther.mBudget))
-    , mBytes(std::exchange(aOther.mBytes, 0))
-  {
-  }
+  byte_claim(byte_claim&& aOther) noexcept = default;
   byte_claim& operator=(byte_claim&& aOther) noexcept
   {
     std::swap(mBudget, aOther.mBudget);
-    std::swap(mBytes, aOther.mBytes);
+    std::swap(mHolder, aOther.mHolder);
     return *this;
   }
   byte_claim(const byte_claim&) = delete;
   byte_claim& operator=(const byte_claim&) = delete;
-  ~byte_claim() { (void)TryResize(0); }
-
-  /// Changes the claim to `aBytes`. Returns false, and changes nothing, if that is more than the
-  /// budget has left; a smaller claim is always granted.
-  bool TryResize(std::size_t aBytes)
+  ~byte_claim()
   {
-    if (mBudget == nullptr) {
-      return true;
+    if (mBudget != nullptr) {
+      mBudget->mUsed -= mHolder->mBytes;
+      mBudget->mHolders.erase(mHolder.get());
     }
-    const std::size_t others = mBudget->mUsed - mBytes;
-    if (aBytes > mBytes && others + aBytes > mBudget->mLimit) {
-      return false;
+  }
+
+  /// Changes the claim to `aBytes`; a smaller claim is always granted. When the budget is short the
+  /// largest holder gives way, because a small answer is more likely to end than a large one.
+  /// Returns false, and changes nothing, if the claim itself would be the largest.
+  bool TryResize(std::size_t aBytes);
+
+  /// Sets what releases the bytes when this claim gives way; with null it never does.
+  void OnGiveWay(std::function<void()> aGiveUp)
+  {
+    if (mHolder != nullptr) {
+      mHolder->mGiveUp = std::move(aGiveUp);
     }
-    mBudget->mUsed = others + aBytes;
-    mBytes = aBytes;
-    return true;
   }
+  /// Whether the claim has given way; it is never granted again.
+  bool IsGivenUp() const { return mHolder != nullptr && mHolder->mIsGivenUp; }
 
-  std::size_t Bytes() const { return mBytes; }
+  std::size_t Bytes() const { return mHolder != nullptr ? mHolder->mBytes : 0; }
 
 private:
   std::shared_ptr<byte_budget> mBudget;
-  std::size_t mBytes = 0;
+  std::unique_ptr<byte_holder> mHolder; ///< null without a budget
+};
+
+/// While it exists, a claim gives way; `aClaim` may be null.
+class way_giver
+{
+public:
+  way_giver(byte_claim* aClaim, std::function<void()> aGiveUp)
+    : mClaim(aClaim)
+  {
+    if (mClaim != nullptr) {
+      mClaim->OnGiveWay(std::move(aGiveUp));
+    }
+  }
+  way_giver(const way_giver&) = delete;
+  way_giver& operator=(const way_giver&) = delete;
+  ~way_giver()
+  {
+    if (mClaim != nullptr) {
+      mClaim->OnGiveWay(nullptr);
+    }
+  }
+
+private:
+  byte_claim* mClaim;
 };
 
 } // namespace tamarackweir::net
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -215,6 +215,11 @@
                                    byte_claim* aClaim)
 {
   const time_point end = Now() + aLimit;
+  // The bytes go at once; the read that is pending fails.
+  const way_giver givesWay(aClaim, [this, &aOut] {
+    std::string().swap(aOut);
+    Close();
+  });
   error_code failure;
   while (!failure && !IsComplete()) {
     if (aOut.size() > aMaxBytes) {
@@ -224,6 +229,9 @@
       co_return asio::error::no_buffer_space;
     }
     failure = co_await ReadSome(aOut, std::max(end - Now(), duration::zero()));
+    if (aClaim != nullptr && aClaim->IsGivenUp()) {
+      failure = asio::error::no_buffer_space;
+    }
   }
   co_return failure;
 }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -64,7 +64,8 @@
   task<error_code> ReadSome(std::string& aOut, duration aLimit);
 
   /// Reads the rest of the body, at most `aMaxBytes`, in `aLimit` altogether. Returns
-  /// `no_buffer_space` when the claim on the memory for it is refused.
+  /// `no_buffer_space` when the claim on the memory for it is refused, or gives way to a smaller
+  /// one; the exchange is closed then, and `aOut` is empty.
   task<error_code> ReadAll(std::string& aOut, std::size_t aMaxBytes, duration aLimit,
                            byte_claim* aClaim = nullptr);
 
--- a/src/net/exchange_test.cpp
+++ b/src/net/exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "net/exchange.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -82,6 +83,24 @@
   ++aDone;
 }
 
+/// Sends the head of an answer and `aSize` bytes of a body that announces `aLength`, and leaves
+/// the connection open until the peer closes it.
+task<> SendPart(tcp::acceptor& aAcceptor, std::size_t aLength, std::size_t aSize)
+{
+  tcp::socket peer(aAcceptor.get_executor());
+  error_code failure;
+  co_await aAcceptor.async_accept(peer, asio::redirect_error(asio::use_awaitable, failure));
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aLength) +
+                             "\r\n\r\n" + std::string(aSize, 'x');
+  co_await asio::async_write(peer, asio::buffer(answer),
+                             asio::redirect_error(asio::use_awaitable, failure));
+  std::array<char, 1024> request;
+  while (!failure) {
+    co_await peer.async_read_some(asio::buffer(request),
+                                  asio::redirect_error(asio::use_awaitable, failure));
+  }
+}
+
 struct endless_answer
 {
   std::string mName;
@@ -148,6 +167,46 @@
   }
 }
 
+// Guards against answers without end that hold the budget, so that all other callers' answers fail.
+TEST_CASE("a small answer is read while large ones without end hold the whole budget")
+{
+  constexpr std::size_t kLarge = 1500U << 10U;
+  const auto budget = std::make_shared<byte_budget>();
+  budget->mLimit = 16U << 20U;
+  asio::io_context loop{ 1 };
+  std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
+  std::vector<error_code> failures(3);
+  std::size_t peak = 0;
+  std::size_t done = 0;
+  const auto read = [&](std::size_t aIndex, std::size_t aLength, std::size_t aSize) {
+    acceptors.push_back(
+      std::make_unique<tcp::acceptor>(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+    Spawn(loop.get_executor(), "server", SendPart(*acceptors.back(), aLength, aSize));
+    Spawn(loop.get_executor(), "reader",
+          ReadWhole(loop, acceptors.back()->local_endpoint(), budget, failures[aIndex], done));
+  };
+  read(0, 2 * kLarge, kLarge);
+  read(1, 2 * kLarge, kLarge);
+  for (const time_point end = Now() + 1s; Now() < end && budget->mUsed < 2 * kLarge;) {
+    while (loop.run_one_for(10ms) > 0) {
+    }
+  }
+  REQUIRE(budget->mUsed >= 2 * kLarge);
+  budget->mLimit = budget->mUsed;
+  read(2, 100'000, 100'000);
+  for (const time_point end = Now() + 5s; done < failures.size() && Now() < end;) {
+    loop.run_one_for(10ms);
+    peak = std::max(peak, budget->mUsed);
+  }
+  CHECK(done == failures.size());
+  CHECK(!failures[2]);
+  const bool isFirst = failures[0] == asio::error::no_buffer_space;
+  CHECK(failures[isFirst ? 0 : 1] == asio::error::no_buffer_space);
+  CHECK(failures[isFirst ? 1 : 0] == asio::error::timed_out);
+  CHECK(peak <= budget->mLimit);
+  CHECK(budget->mUsed == 0);
+}
+
 // Guards against a bound on a read that cuts sound answers which arrive in large pieces.
 TEST_CASE("a large sound answer is read whole")
 {
