An exchange that only brings interim answers is given up after 32

Cause: ReadHeader skipped interim answers without a bound.

Change: more than 32 in one wait end the exchange like a header that is too long.

Evidence: "an answer that the parser can't consume...", new case "interim answers", failed first: exchange_test.cpp:134: ERROR: CHECK( failure == answer.mExpected ) is NOT correct! values: CHECK( system:110 == beast.http:8 ) net_test after the change: 29 of 29 cases.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -17,6 +17,9 @@
 /// Bytes read at a time; an event of a stream is far smaller.
 constexpr std::size_t kReadBytes = 1U << 13U;
 
+/// Interim answers in one wait for the answer; more cost the event loop time without an end.
+constexpr int kMaxInterimAnswers = 32;
+
 body_framing FramingOf(const http::response_parser<http::buffer_body>& aParser)
 {
   if (aParser.is_done()) {
@@ -167,6 +170,7 @@
     StartParser();
   }
   std::string noBody;
+  int interimAnswers = 0;
   while (true) {
     if (const error_code failure = Parse(noBody); failure && failure != http::error::need_more) {
       co_return failure;
@@ -177,6 +181,9 @@
         co_return HasKnownEnd(mParser->get().base()) ? error_code{}
                                                      : http::error::bad_transfer_encoding;
       }
+      if (++interimAnswers > kMaxInterimAnswers) {
+        co_return http::error::header_limit;
+      }
       StartParser();
       continue;
     }
--- a/src/net/exchange_test.cpp
+++ b/src/net/exchange_test.cpp
@@ -119,6 +119,7 @@
   const std::vector<endless_answer> answers{
     { "start line", "HTTP/1.1 200 ", bytes, http::error::header_limit },
     { "header field", "HTTP/1.1 200 OK\r\nName: ", bytes, http::error::header_limit },
+    { "interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n", http::error::header_limit },
     { "chunk size line", chunked, bytes, http::error::buffer_overflow },
     { "chunk extension", chunked + "5;name=", bytes, http::error::buffer_overflow },
     { "trailer", chunked + "0\r\nName: ", bytes, http::error::buffer_overflow },
