Count the list of instances until it is replaced, not until it was last asked for

Seen: no caller has reported it. In review, an instance that had no request for a window took the fixed part of the four instances left at once, while the eight that had just gone may have spent theirs in the same window.

Cause: `MostOf` recorded the number of instances only when a request asked for the budget, so a longer list that was in force until a moment ago was not seen by it.

Evidence: retry_budget_test failed first, with the fix left out: retry_budget_test.cpp:165: ERROR: CHECK( BudgetOf(*one, kService, kStart + 1s)->mFixedAllowance < kSlack / 12 ) is NOT correct! values: CHECK( 12.325 < 4.83333 ) After: passes; gateway_test 24 cases, 435 assertions.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -130,6 +130,15 @@
   ++aLatency.mSamples;
 }
 
+void SetInstances(gateway_state& aState, std::vector<std::string> aInstances, time_point aNow)
+{
+  // The list was in force until now, also if no request has asked for the budget lately.
+  overload::MostOf(aState.mMostInstances, static_cast<double>(aState.mInstances.size()),
+                   aState.mOptions.mBounds.mRetryWindow, aNow);
+  aState.mInstances = std::move(aInstances);
+  aState.mKnowsInstances = true;
+}
+
 std::shared_ptr<overload::retry_budget> BudgetOf(gateway_state& aState, const service_id& aService,
                                                  time_point aNow)
 {
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -128,6 +128,9 @@
 /// Updates the estimate with the time to an answer or first event.
 void RecordLatency(latency_estimate& aLatency, duration aTime);
 
+/// Takes over the ids of all instances, this one included.
+void SetInstances(gateway_state& aState, std::vector<std::string> aInstances, time_point aNow);
+
 /// The retry budget of a service, with this instance's share of the bounds.
 std::shared_ptr<overload::retry_budget> BudgetOf(gateway_state& aState, const service_id& aService,
                                                  time_point aNow);
--- a/src/gateway/retry_budget_test.cpp
+++ b/src/gateway/retry_budget_test.cpp
@@ -61,14 +61,13 @@
     added->mOptions.mBounds.mRetryWindow = kWindow;
     added->mStartedAt = aNow;
     added->mIsFirstStart = aIsFirst;
-    added->mKnowsInstances = true;
     return added;
   }
 
-  void ListInstances()
+  void ListInstances(time_point aNow)
   {
     for (const auto& one : mInstances) {
-      one->mInstances.assign(mInstances.size(), "instance");
+      SetInstances(*one, std::vector<std::string>(mInstances.size(), "instance"), aNow);
     }
   }
 
@@ -122,7 +121,7 @@
       for (std::size_t i = 0; i < instances; ++i) {
         world.mInstances.push_back(world.Instance(kStart, true));
       }
-      world.ListInstances();
+      world.ListInstances(kStart);
       bool isBreaking = false;
       for (time_point now = kStart; now < kStart + 40s; now += 50ms) {
         isBreaking = world.mRandom() % 20 == 0 ? !isBreaking : isBreaking;
@@ -130,12 +129,12 @@
           const std::size_t restarted = world.mRandom() % world.mInstances.size();
           world.End(restarted);
           world.mInstances[restarted] = world.Instance(now, false);
-          world.ListInstances();
+          world.ListInstances(now);
         }
         if (world.mRandom() % 60 == 0 && world.mInstances.size() > instances / 2) {
           world.End(world.mInstances.size() - 1);
           world.mInstances.pop_back();
-          world.ListInstances();
+          world.ListInstances(now);
         }
         world.Arrive(now);
         for (const auto& one : world.mInstances) {
@@ -152,3 +151,18 @@
     }
   }
 }
+
+// Guards against an instance that divides the fixed part by a list that is no longer, or not yet,
+// the one by which the others spend theirs.
+TEST_CASE("the fixed part follows the list of instances, also where no request asks for it")
+{
+  simulation world;
+  SUBCASE("that have left since the last request")
+  {
+    const auto one = world.Instance(kStart - 2 * kWindow, true);
+    SetInstances(*one, std::vector<std::string>(12, "instance"), kStart - 2 * kWindow);
+    SetInstances(*one, std::vector<std::string>(4, "instance"), kStart);
+    CHECK(BudgetOf(*one, kService, kStart + 1s)->mFixedAllowance < kSlack / 12);
+    CHECK(BudgetOf(*one, kService, kStart + kWindow)->mFixedAllowance > kSlack / 6);
+  }
+}
