--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr duration kConnectLimit = 300ms;    ///< a hundred round trips; a lost SYN takes longer
-constexpr duration kAliveWithin = 300ms;     ///< a server that sent data so recently is not probed
 constexpr duration kStartRetryAfter = 200ms; ///< an instance reads its configuration in less
 /// Retries reach other instances, which are not stopped at the same time.
 constexpr duration kStopRetryAfter = 20ms;
@@ -156,35 +154,6 @@
   }
 }
 
-net::task<bool> IsReachable(backends::server_pointer aServer, net::asio::any_io_executor aExecutor)
-{
-  const time_point now = net::Now();
-  if (now - aServer->mLastByte < kAliveWithin) {
-    co_return true;
-  }
-  if (now < aServer->mSuspectUntil) {
-    co_return false;
-  }
-  co_return co_await AcceptsConnections(std::move(aServer), std::move(aExecutor));
-}
-
-net::task<bool> AcceptsConnections(backends::server_pointer aServer,
-                                   net::asio::any_io_executor aExecutor)
-{
-  const auto probe = std::make_shared<net::exchange>(aExecutor);
-  const auto failure =
-    co_await probe->Connect(aServer->mAnnounced.mAddress, kConnectLimit, net::silence_limits{});
-  probe->Close();
-  if (failure) {
-    backends::RecordEnd(*aServer, backends::attempt_end::Unreachable, duration::zero(), net::Now());
-    observe::event_line("server_unreachable")
-      .Text("server", aServer->mAnnounced.mId.Value())
-      .Text("reason", failure.message())
-      .Write();
-  }
-  co_return !failure;
-}
-
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall)
 {
   std::string key = aCall.mRoute->mName;
@@ -384,6 +353,7 @@
   }
   outcome.mAttempt->Server().mLastByte = net::Now();
   aCall.mAnswerBegan = net::Now();
+  aCall.mRetry.Settle();
   const auto& header = outcome.mExchange->Header();
   outcome.mHeader = aState.mDialect.mReadAnswer(header, aCall.mHeader.mAttempt);
   if (outcome.mHeader.mIsMismatched) {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -110,6 +110,9 @@
 net::task<attempt_outcome> Attempt(gateway_state& aState, call& aCall,
                                    std::optional<std::uint64_t> aLastEvent);
 
+/// For a connect to a server: a hundred round trips, and less than a lost SYN takes.
+inline constexpr duration kConnectLimit = 300ms;
+
 /// Whether the machine of a server with an overdue answer accepts connections. A server that cannot
 /// be reached is marked as suspect.
 net::task<bool> IsReachable(backends::server_pointer aServer, net::asio::any_io_executor aExecutor);
