--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -152,8 +152,7 @@
     overload::MostOf(aState.mMostInstances, static_cast<double>(aState.mInstances.size()),
                      bounds.mRetryWindow, aNow);
   // What ran here before this start may have spent its part as well, and is not known.
-  const bool hasPart = aState.mKnowsInstances &&
-                       (aState.mIsFirstStart || aNow >= aState.mStartedAt + bounds.mRetryWindow);
+  const bool hasPart = aState.mKnowsInstances && aNow >= aState.mStartedAt + bounds.mRetryWindow;
   budget->mWindow = bounds.mRetryWindow;
   budget->mRatio = bounds.mRetryRatio * kBudgetPart;
   budget->mFixedAllowance =
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -99,7 +99,6 @@
   overload::recent_most mMostInstances; ///< of `mInstances`, in the budgets' window
   time_point mStartedAt{};
   bool mKnowsInstances = false; ///< the list of instances was read, here or at a peer
-  bool mIsFirstStart = false;   ///< no process of the deployment has run before
   std::unordered_map<std::string, latency_estimate> mLatencies; ///< by route and model
   std::map<std::pair<service_id, model_id>, placement::engine_speed> mEngineSpeeds;
   /// Of the old version: time between a stream's events, by service and model; time of a plain
