Believe the end of an answer whose server is too busy to be asked

A question that was taken and has no answer in time shows a process that runs; one that is cut is asked again until the limit, as a process that has ended refuses the next connection.

What counts is the last event's id, and comments no longer keep a stream from beginning anew.

--- a/src/gateway/answer_end.cpp
+++ b/src/gateway/answer_end.cpp
@@ -11,8 +11,16 @@
 
 /// Time for the statement of a server; a busy one takes several steps of its engine.
 constexpr duration kStatementLimit = 1s;
+constexpr duration kAskAgain = 20ms;
 constexpr std::size_t kMaxStatementBytes = std::size_t{ 64 } * 1024;
 
+/// Whether a connection that was open has ended without an answer.
+bool IsCut(const net::error_code& aFailure)
+{
+  return aFailure == net::asio::error::connection_reset || aFailure == net::asio::error::eof ||
+         aFailure == net::asio::error::broken_pipe;
+}
+
 /// Whether a statement may come from this start of the server.
 bool IsSameStart(const server_statement& aStatement, const backends::announcement& aServer)
 {
@@ -24,7 +32,7 @@
 
 } // namespace
 
-bool IsStreamWhole(doubted_end& aDoubted, const stream_end& aEnd)
+bool ConfirmStreamEnd(doubted_end& aDoubted, const stream_end& aEnd)
 {
   const bool isConfirmed = aDoubted.mIsSet && aDoubted.mLastEvent == aEnd.mLastEvent;
   if (aEnd.mIsCertain && (!aEnd.mIsContinuation || aEnd.mHasEvents || isConfirmed)) {
@@ -43,28 +51,39 @@
   const backends::announcement server = aOutcome.mAttempt->Server().mAnnounced;
   const auto service = aCall.mRoutes->mServices.find(aCall.mService);
   const time_point asked = net::Now();
-  const duration limit = std::min(kStatementLimit, aCall.mDeadline - asked);
-  if (service == aCall.mRoutes->mServices.end() || service->second.mStatementTarget.empty() ||
-      limit <= duration::zero()) {
+  const time_point end = std::min(asked + kStatementLimit, aCall.mDeadline);
+  if (service == aCall.mRoutes->mServices.end() || service->second.mStatementTarget.empty()) {
+    const bool accepts =
+      co_await AcceptsConnections(aOutcome.mAttempt->Pointer(), aCall.mCaller->Executor());
     observe::event_line("answer_end")
       .Text("request", aCall.mHeader.mAttempt)
       .Text("server", server.mId.Value())
-      .Flag("certain", false)
-      .Text("reason", limit <= duration::zero() ? "no time to ask" : "nowhere to ask")
+      .Flag("certain", accepts)
+      .Text("reason", "nowhere to ask; only connected")
       .Write();
-    aState.mMetrics.Count("tamarackweir_answer_ends_total", { { "certain", "no" } });
-    co_return false;
+    aState.mMetrics.Count("tamarackweir_answer_ends_total",
+                          { { "certain", accepts ? "yes" : "no" } });
+    co_return accepts;
   }
   net::http_call question;
   question.mServer = server.mAddress;
   question.mTarget = service->second.mStatementTarget;
-  question.mLimit = limit;
   question.mMaxAnswerBytes = kMaxStatementBytes;
   aState.mDialect.mWriteQuestion(server.mId, question);
-  const net::http_result answer =
-    co_await net::Perform(aCall.mCaller->Executor(), std::move(question));
+  net::http_result answer;
+  do {
+    question.mLimit = std::max(end - net::Now(), duration::zero());
+    answer = co_await net::Perform(aCall.mCaller->Executor(), question);
+    if (!answer.mFailure || !IsCut(answer.mFailure)) {
+      break;
+    }
+    // A server with too many connections resets further ones; one that has ended refuses the next.
+    co_await net::SleepFor(aCall.mCaller->Executor(), kAskAgain);
+  } while (net::Now() < end && !aCall.mCaller->IsGone());
+  // A busy server that has taken the question and has no time for it still runs.
+  const bool isBusy = answer.mMayBeDone && answer.mFailure == net::asio::error::timed_out;
   const bool isCertain =
-    !answer.mFailure && IsSameStart(aState.mDialect.mReadStatement(answer), server);
+    isBusy || (!answer.mFailure && IsSameStart(aState.mDialect.mReadStatement(answer), server));
   observe::event_line("answer_end")
     .Text("request", aCall.mHeader.mAttempt)
     .Text("server", server.mId.Value())
--- a/src/gateway/answer_end.h
+++ b/src/gateway/answer_end.h
@@ -28,7 +28,7 @@
 ///
 /// A server that has lost the stream may answer a continuation with none, so that an end without a
 /// new event needs a second run that ends there.
-bool IsStreamWhole(doubted_end& aDoubted, const stream_end& aEnd);
+bool ConfirmStreamEnd(doubted_end& aDoubted, const stream_end& aEnd);
 
 /// Whether the end of the answer's connection is the end of the answer.
 ///
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -150,7 +150,7 @@
     if (co_await aCall.mCaller->WriteBody(completeEvents.mBytes)) {
       co_return run_end::CallerLeft;
     }
-    aDelivery.mEvents += completeEvents.mCount;
+    aDelivery.mEvents += completeEvents.mCount - completeEvents.mComments;
     if (completeEvents.mLastId) {
       aDelivery.mLastEvent = completeEvents.mLastId;
     }
@@ -281,15 +281,16 @@
         }
       }
       const bool isContinuation = delivered.mLastEvent.has_value();
-      const std::size_t eventsBefore = delivered.mEvents;
+      const std::optional<std::uint64_t> lastEventBefore = delivered.mLastEvent;
       run_end end = co_await PumpEvents(aState, aCall, outcome, delivered);
       bool isCertain = true;
       if (end == run_end::Complete) {
         isCertain = co_await IsEndCertain(aState, aCall, outcome);
-        end = IsStreamWhole(delivered.mDoubtedEnd, { .mIsCertain = isCertain,
-                                                     .mIsContinuation = isContinuation,
-                                                     .mHasEvents = delivered.mEvents > eventsBefore,
-                                                     .mLastEvent = delivered.mLastEvent })
+        end = ConfirmStreamEnd(delivered.mDoubtedEnd,
+                               { .mIsCertain = isCertain,
+                                 .mIsContinuation = isContinuation,
+                                 .mHasEvents = delivered.mLastEvent != lastEventBefore,
+                                 .mLastEvent = delivered.mLastEvent })
                 ? run_end::Complete
                 : run_end::Doubtful;
       }
--- a/src/net/exchange_test.cpp
+++ b/src/net/exchange_test.cpp
@@ -414,4 +414,5 @@
   Spawn(loop.get_executor(), "reader", SendLong(loop, acceptor.local_endpoint(), failure));
   loop.run_for(5s);
   CHECK(failure);
+  CHECK(failure != asio::error::timed_out);
 }
--- a/src/relay/sse_splitter.cpp
+++ b/src/relay/sse_splitter.cpp
@@ -118,6 +118,7 @@
     aAfter = id ? id : aAfter;
     result.mBytes += event;
     ++result.mCount;
+    result.mComments += form.mIsComment ? 1 : 0;
     if (id) {
       result.mLastId = id;
     }
--- a/src/relay/sse_splitter.h
+++ b/src/relay/sse_splitter.h
@@ -21,6 +21,7 @@
 {
   std::string mBytes;
   std::size_t mCount = 0;
+  std::size_t mComments = 0;            ///< of these, the ones without a field
   std::optional<std::uint64_t> mLastId; ///< id of the last event that has one
   const char* mFault = nullptr;         ///< why the next event does not belong to the stream
 };
