--- a/src/entry/endless_answers_test.cpp
+++ b/src/entry/endless_answers_test.cpp
@@ -2,7 +2,7 @@
 #include "net/loop.h"
 #include "platform/http_clients.h"
 
-#include <array>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
--- a/src/entry/engine_client.cpp
+++ b/src/entry/engine_client.cpp
@@ -98,7 +98,10 @@
 
 net::task<> CallOver(open_call aCall, call_result& aResult)
 {
-  if (co_await Begin(aCall, aResult)) {
+  // GCC 12 mislays the frame of a coroutine that has `co_await` in its first condition and no
+  // local.
+  const bool hasBegun = co_await Begin(aCall, aResult);
+  if (hasBegun) {
     co_await ReadPlain(aCall, aResult);
   }
   aCall.mConnection->Close();
@@ -157,7 +160,8 @@
 net::task<> StreamOver(open_call aCall, const request_id& aRequest, const event_receiver& aOnEvent,
                        call_result& aResult)
 {
-  if (co_await Begin(aCall, aResult)) {
+  const bool hasBegun = co_await Begin(aCall, aResult);
+  if (hasBegun) {
     const auto& header = aCall.mConnection->Header();
     if (header.result_int() != kOk) {
       co_await ReadPlain(aCall, aResult);
@@ -176,11 +180,17 @@
 {
   net::asio::io_context loop{ 1 };
   call_result result;
-  net::Spawn(loop.get_executor(), "backend_call",
-             aTask(open_call{ .mCall = aCall,
-                              .mConnection = std::make_shared<net::exchange>(loop.get_executor()) },
-                   result));
+  std::exception_ptr thrown;
+  net::asio::co_spawn(
+    loop,
+    aTask(open_call{ .mCall = aCall,
+                     .mConnection = std::make_shared<net::exchange>(loop.get_executor()) },
+          result),
+    [&thrown](const std::exception_ptr& aThrown) { thrown = aThrown; });
   net::Run(loop);
+  if (thrown) {
+    std::rethrow_exception(thrown);
+  }
   return result;
 }
 
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -45,6 +45,7 @@
              result = std::move(aResult);
              if (aFailure) {
                result.mFailure = asio::error::operation_aborted;
+               result.mMayBeDone = true;
              }
            });
   Run(loop);
