--- a/src/entry/engine_client.cpp
+++ b/src/entry/engine_client.cpp
@@ -91,8 +91,7 @@
   }
   if (!failure && body.size() <= kMaxAnswerBytes &&
       aCall.mConnection->Framing() != net::body_framing::Connection) {
-    aResult =
-      ClassifyAnswer(static_cast<int>(aCall.mConnection->Header().result_int()), std::move(body));
+    aResult = ClassifyAnswer(static_cast<int>(aCall.mConnection->Header().result_int()), body);
   }
 }
 
