--- a/src/net/byte_budget.h
+++ b/src/net/byte_budget.h
@@ -24,8 +24,8 @@
   std::set<byte_holder*> mHolders;
 };
 
-/// Makes the largest holder above `aBytes` that can do so give up its bytes. Returns false if there
-/// is none. What is left then has room for `aBytes`.
+/// Releases the bytes of the largest holder that has more than `aBytes` and can be interrupted, so
+/// that `aBytes` fit. Returns false if there is none.
 bool GiveUpLargest(byte_budget& aBudget, std::size_t aBytes);
 
 /// What one holder uses of a budget; returned when the claim is destroyed. Without a budget a claim
