--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -66,6 +66,15 @@
   time_point mExpiresAt{}; ///< then the report is ignored
 };
 
+/// What all instances together have lately seen of a server.
+struct pooled_view
+{
+  bool mIsUnreachable = false; ///< enough instances failed to connect, and none succeeded since
+  time_point mFullAt{};        ///< when it last rejected a request as full, at any instance
+  double mSlowdown = 1;        ///< time to a first event against the expected time; 1: unknown
+  time_point mExpiresAt{};     ///< then the view says nothing
+};
+
 /// A backend server as this instance sees it.
 struct backend_server
 {
@@ -81,6 +90,7 @@
   /// Expected time to prefill the prompts of this instance's requests without a first event.
   double mPrefillMs = 0;
   remote_load mRemoteLoad;
+  pooled_view mPooled;
   std::vector<const pending_answer*> mPending; ///< owned by the attempts
   time_point mSuspectUntil{};                  ///< until then chosen only without alternatives
   int mSuspicions = 0;                         ///< consecutive ones
