Concentrate the canary on few servers of the new version

The canary's share was spread over all new servers and loaded none of them, so a version that fails only under load passed. The new version's requests now go to floor(share x servers) of its servers, at least one, so each carries at least its future load. The share is lowered to a whole number of servers plus a tenth, because twice the future load could condemn a good version.

All instances walk the rendezvous order of the listed servers from a place that moves on every 3 s, so a canary on one server still tells a faulty server from a faulty version. A single server condemns its version at 50 failures (25 before), and only while no other server has results. A retry goes to the next new server in the order.

--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/server_choice.h"
 
 #include "base/digest.h"
+#include "rollout/canary_servers.h"
 
 #include <algorithm>
 
@@ -83,6 +84,37 @@
   return aCall.mSide;
 }
 
+/// Whether the canary may load the server: the call may use it now, and it is not cold.
+bool IsUsableForCanary(const gateway_state& aState, const call& aCall, const rollout::shift& aShift,
+                       const backends::backend_server& aServer, time_point aNow)
+{
+  const bool isUnreachable = aNow < aServer.mSuspectUntil ||
+                             (aServer.mPooled.mIsUnreachable && aNow < aServer.mPooled.mExpiresAt);
+  const bool wasTried = std::find(aCall.mTriedServers.begin(), aCall.mTriedServers.end(),
+                                  aServer.mAnnounced.mId) != aCall.mTriedServers.end();
+  return !aServer.mAnnounced.mIsLeaving && !aServer.mSaysItLeaves && !aServer.mMissingSince &&
+         !isUnreachable && !wasTried && !backends::IsCold(aServer, aNow) &&
+         backends::TakesRequests(aServer, aNow) &&
+         IsEligible(aState, aCall, &aShift, rollout::version_side::New, aServer, aNow);
+}
+
+/// The servers of the new version that carry its load now; empty if it is not concentrated.
+std::vector<server_id> ServersInCanary(const gateway_state& aState, const call& aCall,
+                                       const rollout::shift& aShift, time_point aNow)
+{
+  if (rollout::NewVersionShare(aShift, aState.mOptions.mShift, aNow) >= 1) {
+    return {};
+  }
+  std::vector<rollout::canary_candidate> listed;
+  for (const auto& server : backends::ServersOf(aState.mFleet, aShift.mOrder.mService)) {
+    if (server->mAnnounced.mVersion == aShift.mOrder.mNewVersion) {
+      listed.push_back({ .mId = server->mAnnounced.mId,
+                         .mIsUsable = IsUsableForCanary(aState, aCall, aShift, *server, aNow) });
+    }
+  }
+  return rollout::CanaryServers(aShift, aState.mOptions.mShift, std::move(listed), aNow);
+}
+
 } // namespace
 
 placement::choice ChooseServer(gateway_state& aState, call& aCall, placement::demand& aDemand,
@@ -90,8 +122,13 @@
 {
   const auto side = SideOf(aState, aCall, aShift, aNow);
   const auto choose = [&](std::optional<rollout::version_side> aSide) {
-    aDemand.mIsAllowed = [&aState, &aCall, aShift, aSide, aNow](const auto& aServer) {
-      return IsEligible(aState, aCall, aShift, aSide, aServer, aNow);
+    const std::vector<server_id> canary = aShift != nullptr && aSide == rollout::version_side::New
+                                            ? ServersInCanary(aState, aCall, *aShift, aNow)
+                                            : std::vector<server_id>();
+    aDemand.mIsAllowed = [&aState, &aCall, aShift, aSide, aNow, canary](const auto& aServer) {
+      return IsEligible(aState, aCall, aShift, aSide, aServer, aNow) &&
+             (canary.empty() ||
+              std::find(canary.begin(), canary.end(), aServer.mAnnounced.mId) != canary.end());
     };
     return placement::Choose(aState.mFleet, aDemand, aState.mPrefixCaches,
                              aState.mOptions.mPlacement, aState.mRandom, aNow);
--- /dev/null
+++ b/src/rollout/canary_servers.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "rollout/shift.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace tamarackweir::rollout {
+
+/// A listed server of the new version.
+struct canary_candidate
+{
+  server_id mId;
+  bool mIsUsable = true; ///< takes requests, can be reached and is not cold
+};
+
+/// For how long the canary uses the same servers. The next ones show whether a server or its
+/// version is faulty. Long enough for the requests in flight to reach their usual number.
+inline constexpr duration kCanaryTurn = 3s;
+
+/// The number of servers among which a share of the requests is divided, so that each carries at
+/// least the load that it has once the new version serves all requests.
+std::size_t CanaryServerCount(double aShare, std::size_t aServers);
+
+/// The largest share up to `aShare` at which each server in use carries its future load and little
+/// more. A share below that of a single server stays as it is.
+double ShareForWholeServers(double aShare, std::size_t aServers);
+
+/// The servers that the new version's requests go to now; empty if none is usable.
+///
+/// All instances use the same servers without a message: they walk the rendezvous order of the
+/// listed servers from a place that moves on with each turn of the canary, and skip servers that
+/// are not usable. In the ramp the place stays and the set grows with the share.
+std::vector<server_id> CanaryServers(const shift& aShift, const shift_options& aOptions,
+                                     std::vector<canary_candidate> aListed, time_point aNow);
+
+} // namespace tamarackweir::rollout
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -168,9 +168,10 @@
 
 bool IsProvenWorse(const version_counts& aCounts, const shift_options& aOptions)
 {
+  const tally elsewhere = FailuresWithoutWorstServer(aCounts);
   const bool fails = FailsMore(aCounts, aOptions, aOptions.mHaltSignificance) &&
-                     (FailuresWithoutWorstServer(aCounts).mBad >= 2 ||
-                      aCounts.mNew.mBad >= aOptions.mConclusiveFailures);
+                     (elsewhere.mBad >= 2 || (elsewhere.Trials() < aOptions.mMinResults &&
+                                              aCounts.mNew.mBad >= aOptions.mConclusiveFailures));
   return fails || IsSlower(aCounts, aOptions, aOptions.mHaltSignificance);
 }
 
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -62,13 +62,15 @@
   double mRollBackSignificance = 0.01; ///< p-value below which it is not passed but rolled back
   /// The same for slow answers; a slow version that succeeds serves everybody slowly.
   double mSlowRollBackSignificance = 0.014;
-  std::uint64_t mMinRouteResults = 12;    ///< of each route, to pass; enough to detect 50% failures
-  std::uint64_t mMinResults = 6;          ///< of all routes, to pass at all, if there is traffic
-  std::uint64_t mMinPaceResults = 6;      ///< to compare the pace
-  std::uint64_t mMinSlowEverywhere = 5;   ///< the same if nearly all answers are slow
-  std::uint64_t mConclusiveFailures = 25; ///< enough failures even if one server caused them all
-  duration mSessionGap = 5s;              ///< after a longer pause a session may change its version
-  duration mSessionListDelay = 1200ms;    ///< until each instance publishes its active sessions
+  std::uint64_t mMinRouteResults = 12;  ///< of each route, to pass; enough to detect 50% failures
+  std::uint64_t mMinResults = 6;        ///< of all routes, to pass at all, if there is traffic
+  std::uint64_t mMinPaceResults = 6;    ///< to compare the pace
+  std::uint64_t mMinSlowEverywhere = 5; ///< the same if nearly all answers are slow
+  /// Enough failures of a single server while no other one has `mMinResults`. The canary's next
+  /// turn shows sooner whether the version fails, unless it has one server only.
+  std::uint64_t mConclusiveFailures = 50;
+  duration mSessionGap = 5s;           ///< after a longer pause a session may change its version
+  duration mSessionListDelay = 1200ms; ///< until each instance publishes its active sessions
 };
 
 /// Key by which results are counted.
@@ -183,7 +185,7 @@
 /// Returns whether the results prove that the new version is bad.
 ///
 /// Compares the failures and the slow answers of the new version with those of the old one, for
-/// each route and for all routes together. Unless there are `mConclusiveFailures`, at least two
+/// each route and for all routes together. Unless `mConclusiveFailures` applies, at least two
 /// must come from servers other than the worst one, because a single faulty server is not a fault
 /// of its version. A version is slow only if most of its servers are.
 bool IsNewVersionBad(const shift& aShift, const shift_options& aOptions);
