Let the canary skip servers that fail at the instance

With one server in use, a version that fails every request got 50 of them until it was halted: platform/path_test.cpp "a roll-out whose version fails" allows fewer than 30 and saw 50 with a build of the concentrated canary. A server whose recent failures exceed the tolerated share is now skipped, so the next one shows whether the version fails there too.

--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -84,7 +84,8 @@
   return aCall.mSide;
 }
 
-/// Whether the canary may load the server: the call may use it now, and it is not cold.
+/// Whether the canary may load the server: the call may use it now, it is not cold, and it does not
+/// fail here. The next server then shows whether the version fails there too.
 bool IsUsableForCanary(const gateway_state& aState, const call& aCall, const rollout::shift& aShift,
                        const backends::backend_server& aServer, time_point aNow)
 {
@@ -93,8 +94,9 @@
   const bool wasTried = std::find(aCall.mTriedServers.begin(), aCall.mTriedServers.end(),
                                   aServer.mAnnounced.mId) != aCall.mTriedServers.end();
   return !aServer.mAnnounced.mIsLeaving && !aServer.mSaysItLeaves && !aServer.mMissingSince &&
-         !isUnreachable && !wasTried && !backends::IsCold(aServer, aNow) &&
-         backends::TakesRequests(aServer, aNow) &&
+         !isUnreachable && !wasTried &&
+         backends::FailureShare(aServer, aNow) <= aState.mOptions.mPlacement.mToleratedFailures &&
+         !backends::IsCold(aServer, aNow) && backends::TakesRequests(aServer, aNow) &&
          IsEligible(aState, aCall, &aShift, rollout::version_side::New, aServer, aNow);
 }
 
