Add a fault above a load to the engine stand-in

No stand-in could play a version that fails only under load. With `fails_above`, also per version, every second request above that number of running ones gets 500.

--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -170,6 +170,12 @@
     RefuseNotRun(*aEngine, aAnswer, base.mId + " is at its capacity; send to another server");
     return nullptr;
   }
+  const double failsAbove = VersionNumber(*aEngine, aChat.mVersion, "fails_above");
+  if (failsAbove > 0 && running >= failsAbove && ++base.mCounts["over_load"] % 2 == 1) {
+    ++base.mCounts["failed_under_load"];
+    Answer(aAnswer, 500, { { "error", { { "message", base.mId + " failed under load" } } } });
+    return nullptr;
+  }
   ++base.mCounts["started"];
   ++aEngine->mRunning;
   ++base.mOpenAnswers;
@@ -458,7 +464,8 @@
   const json perVersion{ { "answer_tokens", nullptr },
                          { "first_token_ms", nullptr },
                          { "token_ms", nullptr },
-                         { "bad_share", nullptr } };
+                         { "bad_share", nullptr },
+                         { "fails_above", nullptr } };
   return { { { "versions", json::array() }, { "weights_address", "" } },
            { { "down", false },
              { "slow_ms", 0 },
@@ -466,6 +473,7 @@
              { "first_token_ms", 5 },
              { "token_ms", 1 },
              { "bad_share", 0 },
+             { "fails_above", 0 },
              { "per_version", { { "*", perVersion } } },
              { "capacity", 64 },
              { "cold", false },
--- a/src/standins/engine_test.cpp
+++ b/src/standins/engine_test.cpp
@@ -229,6 +229,18 @@
   CHECK(seen < 90);
 }
 
+// Guards against a fault under load that also shows without load, or in other versions.
+TEST_CASE("a version that fails above a load answers below it")
+{
+  const auto engine = Engine(
+    { { "per_version", { { "m@v2", { { "fails_above", 1 }, { "first_token_ms", 300 } } } } } });
+  CHECK(Post(*engine, kChat, Ask("alone", false, "m@v2"))->status == 200);
+  const std::jthread busy([&] { Post(*engine, kChat, Ask("busy", false, "m@v2")); });
+  Await([&] { return StatsOf(*engine).at("load").at("running") == 1; });
+  CHECK(Post(*engine, kChat, Ask("second", false, "m@v2"))->status == 500);
+  CHECK(Post(*engine, kChat, Ask("other", false, "m@v1"))->status == 200);
+}
+
 // Guards against stale drivers that are never refused, or always.
 TEST_CASE("a stale fencing number is refused where it is checked")
 {
