Roll back a version that was judged far below its future load

Each judged answer of the new version is now counted by the requests in flight at its server, in tenths of the load after success. The counts are pooled through the results message; earlier releases neither send nor need them.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -137,7 +137,8 @@
     rollout::EncodeReport({ .mService = aService,
                             .mOrderId = order,
                             .mInstance = mState.mSelf.mId.Value() + "/" + mStartId,
-                            .mResults = shift->second.mOwnResults });
+                            .mResults = shift->second.mOwnResults,
+                            .mLoads = shift->second.mOwnLoads });
   const std::vector<std::string> collectors = Collectors(mState, aService, net::Now());
   const std::vector<peer> peers = mPeers;
   for (const peer& other : peers) {
@@ -235,6 +236,7 @@
     return "{\"halted\":false}";
   }
   rollout::MergeResults(shift->second, report.mInstance, report.mResults);
+  rollout::MergeLoads(shift->second, report.mInstance, report.mLoads);
   if (rollout::IsRunning(shift->second) &&
       rollout::IsNewVersionBad(shift->second, mState.mOptions.mShift)) {
     HaltShift(shift->second, mState.mSelf.mId);
--- a/src/gateway/shift_results.cpp
+++ b/src/gateway/shift_results.cpp
@@ -3,6 +3,8 @@
 #include "gateway/server_choice.h"
 #include "observe/event_log.h"
 
+#include <algorithm>
+
 namespace tamarackweir::gateway {
 
 namespace {
@@ -89,6 +91,11 @@
   }
   const bool isBad = !isSuccess || IsSlow(LatencyOf(aState, aCall), aTime);
   rollout::RecordResult(*shift, KeyOf(aCall, tried), !isBad);
+  if (tried.IsNewVersion()) {
+    const time_point now = net::Now();
+    rollout::RecordLoad(*shift, backends::RequestsAt(tried.Server(), now),
+                        LoadsOf(aState.mFleet, *shift, now));
+  }
   if (isBad && tried.IsNewVersion()) {
     HaltIfBad(aState, *shift);
   }
@@ -100,6 +107,31 @@
   RecordPace(aState, PaceKeyOf(aCall), aCall, aAttempt, aPerEvent);
 }
 
+rollout::server_loads LoadsOf(const backends::fleet& aFleet, const rollout::shift& aShift,
+                              time_point aNow)
+{
+  struct version_load
+  {
+    int mRequests = 0;
+    int mServers = 0;
+
+    double PerServer(int aRequests) const
+    {
+      return static_cast<double>(aRequests) / std::max(1, mServers);
+    }
+  };
+  version_load oldVersion;
+  version_load newVersion;
+  for (const auto& server : backends::ServersOf(aFleet, aShift.mOrder.mService)) {
+    const bool isNew = server->mAnnounced.mVersion == aShift.mOrder.mNewVersion;
+    version_load& load = isNew ? newVersion : oldVersion;
+    load.mRequests += backends::RequestsAt(*server, aNow);
+    ++load.mServers;
+  }
+  return { .mOld = oldVersion.PerServer(oldVersion.mRequests),
+           .mFuture = newVersion.PerServer(oldVersion.mRequests + newVersion.mRequests) };
+}
+
 void HaltShift(rollout::shift& aShift, const instance_id& aBy)
 {
   if (aShift.mIsHalted) {
--- a/src/gateway/shift_results.h
+++ b/src/gateway/shift_results.h
@@ -21,6 +21,10 @@
 /// Whether an answer came far slower than the usual one.
 bool IsOffPace(const quantile_estimate& aUsual, duration aTime);
 
+/// The loads of the shift's servers, as far as this instance knows the requests in flight.
+rollout::server_loads LoadsOf(const backends::fleet& aFleet, const rollout::shift& aShift,
+                              time_point aNow);
+
 /// Halts the shift on this instance, whatever state the store holds.
 /// \param aBy the instance that found the new version to be bad
 void HaltShift(rollout::shift& aShift, const instance_id& aBy);
--- a/src/rollout/results_message.cpp
+++ b/src/rollout/results_message.cpp
@@ -19,7 +19,8 @@
     { "service", aReport.mService.Value() },
     { "order", aReport.mOrderId },
     { "instance", aReport.mInstance },
-    { "results", std::move(results) }
+    { "results", std::move(results) },
+    { "loads", aReport.mLoads }
   }.dump();
 }
 
@@ -44,6 +45,10 @@
         counts.mSlow = entry.at(6).get<std::uint64_t>();
       }
     }
+    // Instances of an earlier release do not send loads.
+    if (message.contains("loads")) {
+      report.mLoads = message.at("loads").get<load_counts>();
+    }
     return report;
   } catch (const json::exception& failure) {
     throw error(error_kind::InvalidInput,
--- a/src/rollout/results_message.h
+++ b/src/rollout/results_message.h
@@ -14,6 +14,7 @@
   std::uint64_t mOrderId = 0;
   std::string mInstance; ///< id and start epoch of the sender
   shift_results mResults;
+  load_counts mLoads{}; ///< all 0 from an earlier release
 };
 
 /// Encodes a report as JSON.
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace tamarackweir::rollout {
 
@@ -259,6 +260,12 @@
            : shift_phase::Passed;
 }
 
+/// Whether the new version was judged only far below the load that it will have.
+bool IsLoadUnseen(const shift& aShift, const shift_options& aOptions)
+{
+  return JudgedLoadShare(aShift, aOptions).value_or(1) < aOptions.mLeastJudgedLoad;
+}
+
 } // namespace
 
 double ElapsedFraction(const shift& aShift, time_point aNow)
@@ -368,6 +375,52 @@
   }
 }
 
+void RecordLoad(shift& aShift, int aInFlight, const server_loads& aLoads)
+{
+  if (aLoads.mFuture < 1) {
+    return;
+  }
+  const double tenths = 10 * aInFlight / aLoads.mFuture;
+  const auto last = static_cast<double>(aShift.mOwnLoads.size() - 1);
+  ++aShift.mOwnLoads.at(static_cast<std::size_t>(std::clamp(tenths, 0.0, last)));
+}
+
+void RecordUsualLoads(shift& aShift, const shift_options& aOptions, const server_loads& aLoads,
+                      time_point aNow)
+{
+  if (!IsCanaryShare(aShift, aOptions, aNow)) {
+    return;
+  }
+  constexpr double kWeight = 0.1; // about the last ten values
+  server_loads& usual = aShift.mUsualLoads;
+  const double weight = usual.mFuture > 0 ? kWeight : 1;
+  usual.mOld += weight * (aLoads.mOld - usual.mOld);
+  usual.mFuture += weight * (aLoads.mFuture - usual.mFuture);
+}
+
+void MergeLoads(shift& aShift, const std::string& aInstance, const load_counts& aLoads)
+{
+  load_counts& known = aShift.mPeerLoads[aInstance];
+  std::transform(known.begin(), known.end(), aLoads.begin(), known.begin(),
+                 [](auto aLeft, auto aRight) { return std::max(aLeft, aRight); });
+}
+
+std::optional<double> JudgedLoadShare(const shift& aShift, const shift_options& aOptions)
+{
+  load_counts all = aShift.mOwnLoads;
+  for (const auto& [instance, loads] : aShift.mPeerLoads) {
+    std::transform(all.begin(), all.end(), loads.begin(), all.begin(), std::plus<>());
+  }
+  std::uint64_t judged = 0;
+  for (std::size_t step = all.size(); step-- > 0;) {
+    judged += all.at(step);
+    if (judged >= aOptions.mMinResults) {
+      return static_cast<double>(step) / 10;
+    }
+  }
+  return std::nullopt;
+}
+
 shift_totals TotalsOf(const shift& aShift)
 {
   const auto byRoute = PoolResults(aShift);
@@ -414,7 +467,7 @@
       (aScope == evidence_scope::Own && elapsed < ownFrom)) {
     return std::nullopt;
   }
-  if (!IsSuspicious(PoolResults(aShift), aOptions)) {
+  if (!IsSuspicious(PoolResults(aShift), aOptions) && !IsLoadUnseen(aShift, aOptions)) {
     return shift_phase::Succeeded;
   }
   return aScope == evidence_scope::Pooled && elapsed >= lastCall
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "rollout/exposure_schedule.h"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -69,6 +70,9 @@
   /// Enough failures of a single server while no other one has `mMinResults`. The canary's next
   /// turn shows sooner whether the version fails, unless it has one server only.
   std::uint64_t mConclusiveFailures = 50;
+  /// Share of the future load at which the new version must have been judged. Far below 1, as the
+  /// load varies and the instances know it late.
+  double mLeastJudgedLoad = 0.3;
   duration mSessionGap = 5s;           ///< after a longer pause a session may change its version
   duration mSessionListDelay = 1200ms; ///< until each instance publishes its active sessions
 };
@@ -98,6 +102,17 @@
 /// Results of one instance.
 using shift_results = std::map<result_key, shift_counts>;
 
+/// Judged answers of the new version by the load of their server, in tenths of the load that each
+/// server will carry after success. The last entry counts that load and above.
+using load_counts = std::array<std::uint64_t, 11>;
+
+/// Mean requests in flight per server.
+struct server_loads
+{
+  double mOld = 0;    ///< at the old version's servers
+  double mFuture = 0; ///< at the new version's servers, once they serve all requests
+};
+
 /// State that one instance keeps about a shift.
 struct shift
 {
@@ -108,6 +123,9 @@
   bool mIsHalted = false; ///< the new version was found bad, whatever the store says
   shift_results mOwnResults;
   std::map<std::string, shift_results> mPeerResults; ///< highest counts, by instance id and start
+  load_counts mOwnLoads{};
+  std::map<std::string, load_counts> mPeerLoads; ///< highest counts, by instance id and start
+  server_loads mUsualLoads;              ///< smoothed, of the canary phase; 0 until they are known
   std::set<std::uint64_t> mKeptSessions; ///< on the old version during the canary, of all instances
 };
 
@@ -173,6 +191,21 @@
 /// Merges the results of another instance. Counts never decrease.
 void MergeResults(shift& aShift, const std::string& aInstance, const shift_results& aResults);
 
+/// Counts a judged answer of the new version by the requests in flight at its server. A service
+/// with less than one request in flight per server has no load that could show a fault.
+void RecordLoad(shift& aShift, int aInFlight, const server_loads& aLoads);
+
+/// Smooths the usual loads while the canary runs.
+void RecordUsualLoads(shift& aShift, const shift_options& aOptions, const server_loads& aLoads,
+                      time_point aNow);
+
+/// Merges the loads at which another instance judged. Counts never decrease.
+void MergeLoads(shift& aShift, const std::string& aInstance, const load_counts& aLoads);
+
+/// The highest load at which enough answers of the new version were judged, relative to its future
+/// load, in tenths up to 1. Nothing if the service has no load.
+std::optional<double> JudgedLoadShare(const shift& aShift, const shift_options& aOptions);
+
 /// Totals of all routes and instances, as far as known here.
 struct shift_totals
 {
@@ -201,8 +234,8 @@
 ///
 /// A shift passes shortly before its ramp, if each route has enough results and none is suspicious.
 /// A shift that is still suspicious when the ramp should start, or has almost no results, is rolled
-/// back, unless only one of several servers fails. These decisions require the results of all
-/// instances.
+/// back, unless only one of several servers fails. A version that was judged only far below its
+/// future load does not succeed. These decisions require the results of all instances.
 std::optional<shift_phase> NextPhase(const shift& aShift, const shift_options& aOptions,
                                      evidence_scope aScope, time_point aNow);
 
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -376,6 +376,39 @@
   CHECK(phaseOnRamp(3, 2) == shift_phase::Passed);
 }
 
+// Guards against a success that nothing supports: on kitamura-weir-grown a version that fails under
+// load only succeeded with 334 good results, and failed 3 s after the old servers had stopped.
+TEST_CASE(
+  "a version judged far below its future load is rolled back, a service without load is not")
+{
+  const shift_options options;
+  const auto lastPhase = [&options](int aInFlight, double aFutureLoad) {
+    shift running = MakeShift();
+    running.mProgress = shift_progress{ .mOrderId = 5, .mPhase = shift_phase::Passed };
+    running.mPassedAt = At(running, ScheduleOf(running).mRampStart);
+    RecordMany(running, false, "", 200, 0);
+    RecordMany(running, true, "new-1", 20, 0);
+    for (std::uint64_t i = 0; i < options.mMinResults; ++i) {
+      RecordLoad(running, aInFlight, { .mOld = aFutureLoad / 2, .mFuture = aFutureLoad });
+    }
+    const auto early = PhaseAt(running, ScheduleOf(running).mSuccess + 0.001);
+    return early ? early : PhaseAt(running, 0.995);
+  };
+  CHECK(lastPhase(2, 20) == shift_phase::RolledBack);
+  CHECK(lastPhase(8, 20) == shift_phase::Succeeded);
+  CHECK(lastPhase(1, 0.5) == shift_phase::Succeeded);
+}
+
+TEST_CASE("the judged load is the highest one with enough answers of all instances together")
+{
+  shift collector = MakeShift();
+  CHECK_FALSE(JudgedLoadShare(collector, {}).has_value());
+  MergeLoads(collector, "a", { 0, 0, 4, 0, 3 });
+  MergeLoads(collector, "b", { 0, 0, 0, 0, 3, 0, 0, 0, 0, 0, 2 });
+  MergeLoads(collector, "b", { 0, 0, 0, 0, 1 }); // an earlier message that was late
+  CHECK(JudgedLoadShare(collector, {}) == 0.4);
+}
+
 TEST_CASE("an instance with only its own results does not let a shift pass")
 {
   const shift_options options;
@@ -415,13 +448,19 @@
   const results_report sent{ .mService = service_id("llm"),
                              .mOrderId = 5,
                              .mInstance = "a/1",
-                             .mResults = running.mOwnResults };
+                             .mResults = running.mOwnResults,
+                             .mLoads = { 3, 0, 7 } };
   const results_report read = DecodeReport(EncodeReport(sent));
   CHECK(read.mResults == sent.mResults);
   CHECK(read.mInstance == "a/1");
+  CHECK(read.mLoads == sent.mLoads);
   const results_report earlier = DecodeReport(
     R"({"service":"llm","order":5,"instance":"a/1","results":[[true,"r","new-1",3,1]]})");
   CHECK(earlier.mResults.begin()->second == shift_counts{ .mGood = 3, .mBad = 1 });
+  CHECK(earlier.mLoads == load_counts{});
+  CHECK_THROWS_AS(
+    DecodeReport(R"({"service":"llm","order":5,"instance":"a/1","results":[],"loads":[1]})"),
+    error);
   CHECK_THROWS_AS(DecodeReport("{}"), error);
   CHECK_THROWS_AS(DecodeReport("["), error);
 }
