Share among the instances what each has seen of the servers

Each instance learned alone that a server is gone: of 90 instances with a fifth of the servers lost, each paid for its own failed connects, and again after each suspicion of 0.6 to 3 s.

Load messages get one more element with the latest observations of each server: failed and accepted connects, received bytes, rejections as full, and the measured slowdown, with ages and the server's start. Whoever has the reports pools them by distinct instances. A server is treated as suspect if, since anyone's last proof of liveness, at least two instances and a quarter of those that tried failed to connect. Invalid load entries are skipped instead of being read as large numbers.

A connect now counts as evidence by itself. An attempt that was not sent for another reason (the caller left, the server closed meanwhile) does not, and an accepted connect ends a suspicion that a failed one caused.

Totals of 900 loads leave room for 165 observations in 16 KiB.

--- a/src/backends/fleet.cpp
+++ b/src/backends/fleet.cpp
@@ -160,8 +160,11 @@
     case attempt_end::Failed:
     case attempt_end::Broken:
     case attempt_end::TimedOut:
+      Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
+      break;
     case attempt_end::Refused:
       Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
+      aServer.mSeen.mFullAt = aNow;
       break;
     case attempt_end::Unreachable:
     case attempt_end::WrongServer:
--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -72,9 +72,22 @@
   bool mIsUnreachable = false; ///< enough instances failed to connect, and none succeeded since
   time_point mFullAt{};        ///< when it last rejected a request as full, at any instance
   double mSlowdown = 1;        ///< time to a first event against the expected time; 1: unknown
+  time_point mFailedAt{};      ///< the last failed connect of any instance
+  time_point mLostAt{};        ///< the failed connect that made it unreachable
   time_point mExpiresAt{};     ///< then the view says nothing
 };
 
+/// What this instance has lately seen of a server. A default time means never.
+struct own_view
+{
+  time_point mConnectFailedAt{};
+  time_point mConnectedAt{};
+  time_point mFullAt{};
+  /// Time to a first event against the expected time: logarithms of the ratios, and their number.
+  decaying_value mSlowdownSum;
+  decaying_value mSlowdownCount;
+};
+
 /// A backend server as this instance sees it.
 struct backend_server
 {
@@ -91,6 +104,7 @@
   double mPrefillMs = 0;
   remote_load mRemoteLoad;
   pooled_view mPooled;
+  own_view mSeen;
   std::vector<const pending_answer*> mPending; ///< owned by the attempts
   time_point mSuspectUntil{};                  ///< until then chosen only without alternatives
   int mSuspicions = 0;                         ///< consecutive ones
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -1,5 +1,6 @@
 #include "gateway/call.h"
 
+#include "backends/evidence.h"
 #include "base/digest.h"
 #include "gateway/answer_end.h"
 #include "gateway/crash_reports.h"
@@ -292,9 +293,13 @@
 
   const duration connectLimit =
     std::min(kConnectLimit, std::max(duration(1ms), aCall.mDeadline - now));
-  if (const auto failure = co_await outcome.mExchange->Connect(announced.mAddress, connectLimit,
-                                                               net::silence_limits{});
-      failure || aCall.mCaller->IsGone()) {
+  const auto connectFailure =
+    co_await outcome.mExchange->Connect(announced.mAddress, connectLimit, net::silence_limits{});
+  // A connect that ended early, because the caller left or has little time, says nothing.
+  if (!aCall.mCaller->IsGone() && (!connectFailure || connectLimit == kConnectLimit)) {
+    backends::RecordConnect(outcome.mAttempt->Server(), !connectFailure, net::Now());
+  }
+  if (connectFailure || aCall.mCaller->IsGone()) {
     ++aCall.mNotSent;
     aCall.mUnreached.push_back(announced.mDataCentre);
     co_return outcome;
@@ -414,6 +419,9 @@
                       std::chrono::duration<double, std::milli>(latency.mMs));
   }
   if (!wasEndedHere) {
+    if (delay != duration::zero()) {
+      backends::RecordSlowdown(server, aTime, aTime - delay, now);
+    }
     backends::RecordEnd(server, EndOf(aOutcome), delay, now);
     RecordShiftResult(aState, aCall, aOutcome, aTime);
     if (isSuccess && !aOutcome.mAttempt->IsNewVersion()) {
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -16,7 +16,23 @@
 constexpr std::size_t kInstancesAtFullRate = 80;
 /// Load reports between two crash messages that include older quarantines.
 constexpr std::size_t kReminderRounds = 5;
-constexpr std::size_t kMaxDatagramBytes = 1U << 14U; ///< totals of a thousand servers
+/// An aggregator answers many instances with the same pooled observations.
+constexpr duration kPooledAnewAfter = 50ms;
+
+/// Logs and counts the servers that became unreachable or reachable for all instances.
+void ReportChanges(gateway_state& aState, const std::vector<backends::view_change>& aChanges)
+{
+  for (const backends::view_change& change : aChanges) {
+    const bool isLost = change.mServer->mPooled.mIsUnreachable;
+    aState.mMetrics.Count(isLost ? "tamarackweir_servers_lost_total"
+                                 : "tamarackweir_servers_recovered_total");
+    observe::event_line(isLost ? "server_lost" : "server_recovered")
+      .Text("server", change.mServer->mAnnounced.mId.Value())
+      .Number("failed_instances", change.mCause.mFailed)
+      .Number("tried_instances", change.mCause.mTried)
+      .Write();
+  }
+}
 
 } // namespace
 
@@ -74,7 +90,8 @@
     const std::vector<std::string> receivers =
       isFullMesh ? mState.mInstances : DutyHolders(mState.mRoster, "load board", kAggregators);
     placement::load_message report{ .mInstance = mState.mSelf.mId.Value(),
-                                    .mLoads = placement::OwnLoads(mState.mFleet) };
+                                    .mLoads = placement::OwnLoads(mState.mFleet),
+                                    .mSeen = backends::OwnObservations(mState.mFleet, net::Now()) };
     ++mRounds;
     bool isAggregator = isFullMesh;
     const auto crashes = EncodedCrashes(mRounds % kReminderRounds == 0);
@@ -85,7 +102,7 @@
       }
       if (const auto peer = mPeers.find(receivers[i]); peer != mPeers.end()) {
         report.mAsksForTotals = !isFullMesh && mRounds % receivers.size() == i;
-        Send(placement::Encode(report), peer->second);
+        Send(placement::Encode(report, net::Now()), peer->second);
         if (crashes) {
           Send(*crashes, peer->second);
         }
@@ -94,7 +111,7 @@
     const time_point now = net::Now();
     quarantine::RemoveExpired(mState.mCrashes, now);
     if (isAggregator) {
-      placement::ApplyTotals(mState.mFleet, placement::Totals(mBoard, "", now), now);
+      OnTotals(placement::Totals(mBoard, "", now), PooledObservations(now), now);
       // Other instances do not receive the answers that clear a part.
       QuarantineWorstSuspect(mState, now);
     }
@@ -103,7 +120,7 @@
 
 net::task<> load_exchange::ReceiveDatagrams()
 {
-  std::string bytes(kMaxDatagramBytes, '\0');
+  std::string bytes(placement::kMaxMessageBytes, '\0');
   while (true) {
     datagram_endpoint sender;
     net::error_code failure;
@@ -133,19 +150,28 @@
         "peer");
       return;
     }
-    placement::load_message message = placement::DecodeLoads(aBytes);
+    placement::load_message message = placement::DecodeLoads(aBytes, now);
+    if (message.mSkipped > 0) {
+      observe::event_line("load_entries_skipped")
+        .Text("instance", message.mInstance)
+        .Number("entries", static_cast<std::int64_t>(message.mSkipped))
+        .Write();
+    }
     if (message.mIsTotals) {
-      placement::ApplyTotals(mState.mFleet, message.mLoads, now);
+      OnTotals(message.mLoads, message.mSeen, now);
       return;
     }
-    placement::RecordReport(mBoard, message.mInstance, std::move(message.mLoads), now);
-    if (message.mAsksForTotals) {
-      placement::load_report totals = placement::Totals(mBoard, message.mInstance, now);
+    const std::string instance = message.mInstance;
+    const bool asksForTotals = message.mAsksForTotals;
+    placement::RecordReport(mBoard, std::move(message), now);
+    if (asksForTotals) {
+      placement::load_report totals = placement::Totals(mBoard, instance, now);
       placement::Add(totals, placement::OwnLoads(mState.mFleet));
       const placement::load_message reply{ .mInstance = mState.mSelf.mId.Value(),
                                            .mIsTotals = true,
-                                           .mLoads = std::move(totals) };
-      Send(placement::Encode(reply), aSender);
+                                           .mLoads = std::move(totals),
+                                           .mSeen = PooledObservations(now) };
+      Send(placement::Encode(reply, now), aSender);
       if (const auto crashes = EncodedCrashes(true)) {
         Send(*crashes, aSender);
       }
@@ -155,6 +181,23 @@
   }
 }
 
+void load_exchange::OnTotals(const placement::load_report& aLoads,
+                             const backends::observations& aSeen, time_point aNow)
+{
+  placement::ApplyTotals(mState.mFleet, aLoads, aNow);
+  ReportChanges(mState, backends::ApplyPooled(mState.mFleet, aSeen, aNow));
+}
+
+const backends::observations& load_exchange::PooledObservations(time_point aNow)
+{
+  if (aNow - mPooledAt > kPooledAnewAfter) {
+    mPooled =
+      placement::PooledObservations(mBoard, backends::OwnObservations(mState.mFleet, aNow), aNow);
+    mPooledAt = aNow;
+  }
+  return mPooled;
+}
+
 std::optional<std::string> load_exchange::EncodedCrashes(bool aIsReminder) const
 {
   const time_point now = net::Now();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -46,6 +46,9 @@
   net::task<> BindAndRun();
   net::task<> SendReports();
   net::task<> ReceiveDatagrams();
+  void OnTotals(const placement::load_report& aLoads, const backends::observations& aSeen,
+                time_point aNow);
+  const backends::observations& PooledObservations(time_point aNow);
   void HandleDatagram(std::string_view aBytes, const datagram_endpoint& aSender);
   void Send(const std::string& aBytes, const datagram_endpoint& aTo);
   /// The encoded crash message; absent if it would be empty.
@@ -57,6 +60,8 @@
   datagram_endpoint mAddress;
   std::map<std::string, datagram_endpoint> mPeers;
   placement::load_board mBoard;
+  backends::observations mPooled; ///< as of `mPooledAt`
+  time_point mPooledAt{};
   std::size_t mRounds = 0;
 };
 
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -1,3 +1,4 @@
+#include "backends/evidence.h"
 #include "gateway/call.h"
 #include "observe/event_log.h"
 
@@ -15,7 +16,7 @@
   if (now - aServer->mLastByte < kAliveWithin) {
     co_return true;
   }
-  if (now < aServer->mSuspectUntil) {
+  if (backends::IsSuspect(*aServer, now)) {
     co_return false;
   }
   co_return co_await AcceptsConnections(std::move(aServer), std::move(aExecutor));
@@ -28,6 +29,7 @@
   const auto failure =
     co_await probe->Connect(aServer->mAnnounced.mAddress, kConnectLimit, net::silence_limits{});
   probe->Close();
+  backends::RecordConnect(*aServer, !failure, net::Now());
   if (failure) {
     backends::RecordEnd(*aServer, backends::attempt_end::Unreachable, duration::zero(), net::Now());
     observe::event_line("server_unreachable")
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -1,5 +1,6 @@
 #include "placement/choose.h"
 
+#include "backends/evidence.h"
 #include "base/digest.h"
 
 #include <algorithm>
@@ -100,7 +101,7 @@
 /// Preference class: usable servers first, then missing and cold ones, then suspects.
 int RankOf(const backends::backend_server& aServer, time_point aNow)
 {
-  if (aNow < aServer.mSuspectUntil) {
+  if (backends::IsSuspect(aServer, aNow)) {
     return 2;
   }
   return backends::IsCold(aServer, aNow) || aServer.mMissingSince ? 1 : 0;
--- a/src/placement/load_board.cpp
+++ b/src/placement/load_board.cpp
@@ -1,6 +1,6 @@
 #include "placement/load_board.h"
 
-#include "base/digest.h"
+#include "backends/evidence_message.h"
 #include "base/error.h"
 
 #include <algorithm>
@@ -14,12 +14,6 @@
 
 constexpr const char* kUnit = "ms"; ///< of the prefill work in a message
 
-/// 32 bits, as messages list many servers; two of a thousand collide in one of 10,000 fleets.
-std::uint64_t KeyOf(const server_id& aServer)
-{
-  return StableHash(aServer.Value()) & 0xffffffffU;
-}
-
 } // namespace
 
 void Add(load_report& aTo, const load_report& aLoads)
@@ -36,18 +30,20 @@
   load_report loads;
   for (const auto& [id, server] : aFleet.mServers) {
     if (server->mInFlight > 0) {
-      loads[KeyOf(id)] = { .mPrefillMs =
-                             static_cast<std::uint32_t>(std::max(0.0, server->mPrefillMs)),
-                           .mRequests = static_cast<std::uint32_t>(server->mInFlight) };
+      loads[backends::ServerKey(id)] = {
+        .mPrefillMs = static_cast<std::uint32_t>(std::max(0.0, server->mPrefillMs)),
+        .mRequests = static_cast<std::uint32_t>(server->mInFlight)
+      };
     }
   }
   return loads;
 }
 
-void RecordReport(load_board& aBoard, const std::string& aInstance, load_report aLoads,
-                  time_point aNow)
+void RecordReport(load_board& aBoard, load_message aReport, time_point aNow)
 {
-  aBoard.mReports[aInstance] = { .mAt = aNow, .mLoads = std::move(aLoads) };
+  aBoard.mReports[aReport.mInstance] = { .mAt = aNow,
+                                         .mLoads = std::move(aReport.mLoads),
+                                         .mSeen = std::move(aReport.mSeen) };
 }
 
 load_report Totals(load_board& aBoard, const std::string& aExcept, time_point aNow)
@@ -63,10 +59,20 @@
   return totals;
 }
 
+backends::observations PooledObservations(const load_board& aBoard,
+                                          const backends::observations& aOwn, time_point aNow)
+{
+  std::vector<const backends::observations*> witnesses{ &aOwn };
+  for (const auto& [instance, entry] : aBoard.mReports) {
+    witnesses.push_back(&entry.mSeen);
+  }
+  return backends::Pool(witnesses, aNow);
+}
+
 void ApplyTotals(backends::fleet& aFleet, const load_report& aTotals, time_point aNow)
 {
   for (const auto& [id, server] : aFleet.mServers) {
-    const auto load = aTotals.find(KeyOf(id));
+    const auto load = aTotals.find(backends::ServerKey(id));
     const server_load others = load == aTotals.end() ? server_load{} : load->second;
     server->mRemoteLoad = { .mPrefillMs = static_cast<double>(others.mPrefillMs),
                             .mRequests = static_cast<int>(others.mRequests),
@@ -74,7 +80,7 @@
   }
 }
 
-std::string Encode(const load_message& aMessage)
+std::string Encode(const load_message& aMessage, time_point aNow)
 {
   json loads = json::array();
   for (const auto& [server, load] : aMessage.mLoads) {
@@ -82,12 +88,22 @@
     loads.push_back(load.mPrefillMs);
     loads.push_back(load.mRequests);
   }
-  const auto bytes = json::to_msgpack(json::array(
-    { aMessage.mInstance, aMessage.mIsTotals, aMessage.mAsksForTotals, std::move(loads), kUnit }));
+  json message = json::array(
+    { aMessage.mInstance, aMessage.mIsTotals, aMessage.mAsksForTotals, std::move(loads), kUnit });
+  backends::observations seen = aMessage.mSeen;
+  message.push_back(backends::ToList(seen, aNow));
+  std::vector<std::uint8_t> bytes = json::to_msgpack(message);
+  while (bytes.size() > kMaxMessageBytes && !seen.empty()) {
+    const std::size_t excess = bytes.size() - kMaxMessageBytes;
+    const std::size_t dropped = 1 + excess / backends::kMaxObservationBytes;
+    seen.resize(seen.size() - std::min(seen.size(), dropped));
+    message.back() = backends::ToList(seen, aNow);
+    bytes = json::to_msgpack(message);
+  }
   return { bytes.begin(), bytes.end() };
 }
 
-load_message DecodeLoads(std::string_view aBytes)
+load_message DecodeLoads(std::string_view aBytes, time_point aNow)
 {
   constexpr std::size_t kFieldsPerServer = 3;
   try {
@@ -99,11 +115,24 @@
     // Earlier releases send tokens, without a unit; how long those take here is not known.
     const bool isTime = message.size() > 4 && message.at(4) == kUnit;
     for (std::size_t i = 0; i < loads.size(); i += kFieldsPerServer) {
+      if (!loads.at(i).is_number_unsigned() || !loads.at(i + 1).is_number_unsigned() ||
+          !loads.at(i + 2).is_number_unsigned()) {
+        ++result.mSkipped;
+        continue;
+      }
       result.mLoads[loads.at(i).get<std::uint64_t>()] = {
         .mPrefillMs = isTime ? loads.at(i + 1).get<std::uint32_t>() : 0,
         .mRequests = loads.at(i + 2).get<std::uint32_t>()
       };
     }
+    // Earlier releases send no observations.
+    if (constexpr std::size_t kSeen = 5; message.size() > kSeen) {
+      auto [seen, skipped] = backends::FromList(
+        message[kSeen],
+        result.mIsTotals ? backends::kMaxPooledServers : backends::kMaxReportedServers, aNow);
+      result.mSeen = std::move(seen);
+      result.mSkipped += skipped;
+    }
     return result;
   } catch (const json::exception& failure) {
     throw error(error_kind::InvalidInput,
--- a/src/placement/load_board.h
+++ b/src/placement/load_board.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "backends/fleet.h"
+#include "backends/evidence.h"
 
 #include <cstdint>
 #include <string>
@@ -28,6 +28,8 @@
   bool mIsTotals = false; ///< sums over all instances but the receiver; else the sender's own load
   bool mAsksForTotals = false; ///< requests a reply with the totals
   load_report mLoads;
+  backends::observations mSeen; ///< of the sender, or pooled over all instances; newest first
+  std::size_t mSkipped = 0;     ///< invalid entries that were left out on decoding
 };
 
 /// The latest reports of other instances, by instance.
@@ -37,6 +39,7 @@
   {
     time_point mAt{};
     load_report mLoads;
+    backends::observations mSeen;
   };
   std::unordered_map<std::string, entry> mReports;
 };
@@ -51,19 +54,24 @@
 load_report OwnLoads(const backends::fleet& aFleet);
 
 /// Stores the report of another instance in place of its previous one.
-void RecordReport(load_board& aBoard, const std::string& aInstance, load_report aLoads,
-                  time_point aNow);
+void RecordReport(load_board& aBoard, load_message aReport, time_point aNow);
 
 /// The sums over all instances but `aExcept`. Removes expired reports.
 load_report Totals(load_board& aBoard, const std::string& aExcept, time_point aNow);
 
+/// What all instances together have seen of the servers, this instance's observations included.
+backends::observations PooledObservations(const load_board& aBoard,
+                                          const backends::observations& aOwn, time_point aNow);
+
 /// Sets the load of other instances at each server of the fleet.
 void ApplyTotals(backends::fleet& aFleet, const load_report& aTotals, time_point aNow);
 
-/// Encodes as MessagePack; at most 12 bytes per server.
-std::string Encode(const load_message& aMessage);
+/// Encodes as MessagePack. Leaves out the oldest observations above `kMaxMessageBytes`.
+std::string Encode(const load_message& aMessage, time_point aNow);
+
+/// Inverse of `Encode`. Invalid entries are skipped. Throws `error` of kind `InvalidInput`.
+load_message DecodeLoads(std::string_view aBytes, time_point aNow);
 
-/// Inverse of `Encode`. Throws `error` of kind `InvalidInput`.
-load_message DecodeLoads(std::string_view aBytes);
+inline constexpr std::size_t kMaxMessageBytes = 1U << 14U; ///< of a datagram
 
 } // namespace tamarackweir::placement
--- a/src/placement/shared_load_test.cpp
+++ b/src/placement/shared_load_test.cpp
@@ -85,7 +85,7 @@
     if (aLoad.mExchangesLoads && now - lastReport >= kReportInterval) {
       lastReport = now;
       for (std::size_t i = 0; i < fleets.size(); ++i) {
-        RecordReport(board, std::to_string(i), OwnLoads(fleets[i]), now);
+        RecordReport(board, { .mInstance = std::to_string(i), .mLoads = OwnLoads(fleets[i]) }, now);
       }
       for (std::size_t i = 0; i < fleets.size(); ++i) {
         ApplyTotals(fleets[i], Totals(board, std::to_string(i), now), now);
