Probe lost servers by one instance on behalf of all

A suspicion of 0.6 to 3 s ended by itself, so a real request found out whether the server was back, at each instance.

The first instance by rendezvous hashing now connects to a lost server without a request, at pauses of 200 ms to 1 s, and the second in rank if no failure has been reported for 1.7 s. An accepted connect clears the server for all. A server that only one instance could not reach is probed by it before its suspicion ends. The pause ends at 1 s instead of 2 s: at 300 instances views would lapse between two probes.

--- a/src/backends/evidence.cpp
+++ b/src/backends/evidence.cpp
@@ -186,6 +186,31 @@
   return aNow < aServer.mSuspectUntil || IsLost(aServer, aNow);
 }
 
+bool IsProbeDue(const backend_server& aServer, std::size_t aRank, time_point aNow)
+{
+  const own_view& seen = aServer.mSeen;
+  if (seen.mIsProbing || aServer.mAnnounced.mIsLeaving || aServer.mSaysItLeaves) {
+    return false;
+  }
+  if (!IsLost(aServer, aNow)) {
+    return seen.mConnectFailedAt > seen.mConnectedAt && aNow < aServer.mSuspectUntil &&
+           aServer.mSuspectUntil - aNow <= kProbeAhead;
+  }
+  constexpr int kMaxDoublings = 3;
+  const duration pause =
+    std::min(kMaxProbePause, kMinProbePause * (1 << std::min(seen.mFailedProbes, kMaxDoublings)));
+  return aRank == 0 ? aNow - seen.mProbedAt >= pause
+                    : aRank == 1 && aNow - aServer.mPooled.mFailedAt >= kTakeOverAfter;
+}
+
+void RecordProbe(backend_server& aServer, bool aIsAccepted, time_point aNow)
+{
+  own_view& seen = aServer.mSeen;
+  seen.mIsProbing = false;
+  seen.mProbedAt = aNow;
+  seen.mFailedProbes = aIsAccepted ? 0 : seen.mFailedProbes + 1;
+}
+
 observations OwnObservations(const fleet& aFleet, time_point aNow)
 {
   observations result;
--- a/src/backends/evidence.h
+++ b/src/backends/evidence.h
@@ -58,6 +58,17 @@
 /// attempt to reach it has failed.
 bool IsSuspect(const backend_server& aServer, time_point aNow);
 
+/// Whether this instance is to probe the server by a connect without a request.
+///
+/// A lost server is probed by the first instance in rank on behalf of all, or by the second if the
+/// first is silent. A server that only this instance could not reach is probed before the suspicion
+/// ends, so that no request is risked.
+/// \param aRank how many instances go before this one for the server
+bool IsProbeDue(const backend_server& aServer, std::size_t aRank, time_point aNow);
+
+/// Records the end of a probe, after `RecordConnect`.
+void RecordProbe(backend_server& aServer, bool aIsAccepted, time_point aNow);
+
 /// What this instance has seen within `kEvidenceLifetime`, newest first, at most
 /// `kMaxReportedServers`.
 observations OwnObservations(const fleet& aFleet, time_point aNow);
@@ -81,6 +92,17 @@
 inline constexpr std::size_t kMaxReportedServers = 64;
 inline constexpr std::size_t kMaxPooledServers = 256;
 
+inline constexpr duration kMinProbePause = 200ms; ///< doubled after each failed probe
+/// At 300 instances, which report every 800 ms, a longer pause would let the views expire between
+/// two probes.
+inline constexpr duration kMaxProbePause = 1s;
+/// Age of the last known failure at which the second in rank probes: the longest pause, a connect
+/// that times out, and a report and totals of 79 instances.
+inline constexpr duration kTakeOverAfter = 1700ms;
+/// Time before the end of a suspicion at which this instance probes: a connect that times out, and
+/// the interval of the checks.
+inline constexpr duration kProbeAhead = 500ms;
+
 /// A server is unreachable only if at least so many instances failed to connect ...
 inline constexpr std::uint32_t kMinFailedInstances = 2;
 /// ... and at least one of so many that tried.
--- a/src/backends/evidence_test.cpp
+++ b/src/backends/evidence_test.cpp
@@ -209,3 +209,40 @@
   CHECK(FromList({ { "a", 1 } }, 8, kStart).mSeen.empty());
   CHECK(FromList(nlohmann::json::array({ 1, 2 }), 8, kStart).mSkipped == 1);
 }
+
+// Guards against probes by all instances at once, and a first in rank that has died.
+TEST_CASE("the first in rank probes a lost server ever more rarely, and the second if it is silent")
+{
+  fleet fleet = MakeFleet();
+  backend_server& server = Only(fleet);
+  const time_point lost = kStart + 1s;
+  ApplyPooled(fleet, PoolAll(Seen(2, 0), lost), lost);
+  CHECK(IsProbeDue(server, 0, lost));
+  CHECK_FALSE(IsProbeDue(server, 1, lost));
+  for (const duration pause : { 200ms * 2, 200ms * 4, 1000ms, 1000ms }) {
+    RecordProbe(server, false, lost);
+    CHECK_FALSE(IsProbeDue(server, 0, lost + pause - 1ms));
+    CHECK(IsProbeDue(server, 0, lost + pause));
+  }
+  CHECK_FALSE(IsProbeDue(server, 1, lost + kTakeOverAfter - 1ms));
+  CHECK(IsProbeDue(server, 1, lost + kTakeOverAfter));
+  CHECK_FALSE(IsProbeDue(server, 2, lost + kTakeOverAfter));
+  CHECK_FALSE(IsProbeDue(server, 0, lost + kViewLifetime + 1ms));
+}
+
+// Guards against requests that are risked on a server to find out whether it is back.
+TEST_CASE("a server that only this instance failed to reach is probed before the suspicion ends")
+{
+  const fleet fleet = MakeFleet();
+  backend_server& server = Only(fleet);
+  RecordConnect(server, false, kStart);
+  RecordEnd(server, attempt_end::Unreachable, 0s, kStart);
+  CHECK_FALSE(IsProbeDue(server, 0, server.mSuspectUntil - kProbeAhead - 1ms));
+  const time_point due = server.mSuspectUntil - kProbeAhead;
+  CHECK(IsProbeDue(server, 5, due));
+  RecordConnect(server, false, due + 300ms);
+  RecordEnd(server, attempt_end::Unreachable, 0s, due + 300ms);
+  RecordProbe(server, false, due + 300ms);
+  CHECK(IsSuspect(server, due + kProbeAhead));
+  CHECK_FALSE(IsProbeDue(server, 5, due + 300ms));
+}
--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -86,6 +86,9 @@
   /// Time to a first event against the expected time: logarithms of the ratios, and their number.
   decaying_value mSlowdownSum;
   decaying_value mSlowdownCount;
+  bool mIsProbing = false; ///< a connect without a request is under way
+  time_point mProbedAt{};  ///< when the last one ended
+  int mFailedProbes = 0;   ///< consecutive ones
 };
 
 /// A backend server as this instance sees it.
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "gateway/crash_reports.h"
+#include "gateway/server_probe.h"
 #include "net/bind_retry.h"
 #include "observe/event_log.h"
 #include "quarantine/crash_message.h"
@@ -50,6 +51,7 @@
     throw boost::system::system_error(failure, "bind " + net::ToString(aAddress));
   }
   net::Spawn(mLoop.get_executor(), "load_exchange", BindAndRun());
+  net::Spawn(mLoop.get_executor(), "server_probe", ProbeServers(mLoop, mState));
 }
 
 net::error_code load_exchange::Bind()
