Carry known loads on between reports, and choose by the room at servers

Instances with the same report, 0.2 to 1 s old, all chose the server that was least loaded in it, so a few plain servers were overloaded in turns.

Reported loads approach the mean as fast as servers work, since others replace what has ended. The server is drawn in proportion to the room that is left below the level to which others fill the least loaded servers until the next report. A server that has rejected a request as full since its report is used only without alternatives.

--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -1,6 +1,7 @@
 #include "placement/choose.h"
 
 #include "base/digest.h"
+#include "placement/server_room.h"
 
 #include <algorithm>
 #include <array>
@@ -97,22 +98,23 @@
   }
 }
 
-/// Preference class: usable servers first, then missing and cold ones, then suspects.
+/// Preference class: usable servers first, then missing, full and cold ones, then suspects.
 int RankOf(const backends::backend_server& aServer, time_point aNow)
 {
   if (aNow < aServer.mSuspectUntil) {
     return 2;
   }
-  return backends::IsCold(aServer, aNow) || aServer.mMissingSince ? 1 : 0;
+  return backends::IsCold(aServer, aNow) || aServer.mMissingSince || IsFull(aServer, aNow) ? 1 : 0;
 }
 
 /// Expected delay at a server, without the prefill of the request's own prompt.
 double WaitMs(const backends::backend_server& aServer, const demand& aDemand,
-              const choice_options& aOptions, time_point aNow)
+              const mean_load& aMean, const choice_options& aOptions, time_point aNow)
 {
-  double wait = backends::RequestsAt(aServer, aNow) * aDemand.mTurnMs;
+  const expected_load load = LoadAt(aServer, aMean, aNow);
+  double wait = load.mRequests * aDemand.mTurnMs;
   if (!aDemand.mParts.empty()) {
-    wait += backends::PrefillMsAt(aServer, aNow);
+    wait += load.mPrefillMs;
   }
   wait += std::chrono::duration<double, std::milli>(backends::DelayOf(aServer, aNow)).count();
   return wait +
@@ -161,6 +163,26 @@
   return count;
 }
 
+/// Moves a candidate of the first preference class to the front, drawn in proportion to the room
+/// that is left there when what others send until the next report has filled the least loaded.
+/// \param aCandidates by ascending preference class and cost
+void DrawByRoom(std::vector<scored_server>& aCandidates, const mean_load& aMean,
+                std::mt19937_64& aRandom, time_point aNow)
+{
+  const int rank = RankOf(*aCandidates.front().mServer, aNow);
+  const auto end = std::find_if(aCandidates.begin(), aCandidates.end(),
+                                [rank, aNow](const scored_server& aCandidate) {
+                                  return RankOf(*aCandidate.mServer, aNow) != rank;
+                                });
+  std::vector<double> costs;
+  costs.reserve(aCandidates.size());
+  std::transform(aCandidates.begin(), end, std::back_inserter(costs),
+                 [](const scored_server& aCandidate) { return aCandidate.mCostMs; });
+  const double arrivingMs = aMean.mArrivingMs * static_cast<double>(costs.size());
+  std::uniform_real_distribution<double> point(0.0, 1.0);
+  std::swap(aCandidates.front(), aCandidates[IndexByRoom(costs, arrivingMs, point(aRandom))]);
+}
+
 void RemoveOlderHalf(prefix_caches& aCaches)
 {
   std::vector<time_point> times;
@@ -184,6 +206,7 @@
   std::vector<scored_server> candidates;
   std::array<ranked_candidate, kMaxHolders> holders; // by descending weight
   bool wasTried = false;
+  const mean_load mean = aOptions.mSpreadsLoad ? MeanLoad(aFleet, aDemand, aNow) : mean_load{};
   for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
     if (server->mAnnounced.mIsLeaving || server->mSaysItLeaves || !aDemand.mIsAllowed(*server)) {
       continue;
@@ -201,7 +224,7 @@
     const std::uint64_t hash = StableHash(server->mAnnounced.mId.Value());
     const std::uint64_t weight = Mix(shared, hash);
     InsertByWeight(holders, { .mWeight = weight, .mCandidate = candidates.size() });
-    const double waitMs = WaitMs(*server, aDemand, aOptions, aNow);
+    const double waitMs = WaitMs(*server, aDemand, mean, aOptions, aNow);
     candidates.push_back(
       scored_server{ .mServer = server,
                      .mWaitMs = waitMs,
@@ -241,6 +264,7 @@
               const int rightRank = RankOf(*aRight.mServer, aNow);
               return leftRank != rightRank ? leftRank < rightRank : aLeft.mCostMs < aRight.mCostMs;
             });
+  DrawByRoom(candidates, mean, aRandom, aNow);
   for (const scored_server& candidate : candidates) {
     if (backends::IsCold(*candidate.mServer, aNow) &&
         !aDemand.mAcquireColdSlot(*candidate.mServer)) {
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -59,6 +59,9 @@
   double mToleratedFailures = 0.2;  ///< failure share without a penalty
   double mUnreachedPenaltyMs = 500; ///< per failed connect in the data centre
   double mOtherDataCentreMs = 1;    ///< round trip to another data centre
+  /// Whether known loads are carried on from the last report, and the choice is drawn by the room
+  /// at each server. Without it, all instances with the same report use the same servers.
+  bool mSpreadsLoad = true;
 };
 
 /// Why no server was chosen.
