Let a hot part have more holders, and give the load of a service

Three servers could hold a part, and a prompt's own prefill weighed 40 ms per ms, so the holders of a hot part were overloaded while others idled. The draw by room also spread prompts to servers that do not hold their part, and the load of a holder approached the mean although its part's load stays there.

Up to 16 servers hold a part while the wait at the earlier ones exceeds its prefill. The weight is 10, the delay of others at an engine that is busy for 0.9 of the time. Prompts are drawn among servers with the least to prefill, and a reported backlog is worked off by one ms in each ms. LoadOf gives the median and least wait and the share of busy servers.

--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -79,7 +79,7 @@
   return static_cast<double>(tokens) * aDemand.mPrefill.mMsPerToken;
 }
 
-constexpr std::size_t kMaxHolders = 3; ///< servers that may cache a part in high demand
+constexpr std::size_t kMaxHolders = choice_options{}.mMaxHolders;
 
 /// A candidate and its rendezvous weight for the shared parts.
 struct ranked_candidate
@@ -156,31 +156,34 @@
   const auto isBusy = [&](const scored_server& aCandidate) {
     return aCandidate.mCostMs > longWait || RankOf(*aCandidate.mServer, aNow) > 0;
   };
-  while (count < std::min(kMaxHolders, aCandidates.size()) &&
+  while (count < std::min({ aOptions.mMaxHolders, kMaxHolders, aCandidates.size() }) &&
          isBusy(aCandidates[aHolders[count - 1].mCandidate])) {
     ++count;
   }
   return count;
 }
 
-/// Moves a candidate of the first preference class to the front, drawn in proportion to the room
-/// that is left there when what others send until the next report has filled the least loaded.
+/// Moves a candidate to the front that is drawn among those of the front's preference class which
+/// have no more to prefill: in proportion to the room left there when what others send until the
+/// next report has filled the least loaded ones.
 /// \param aCandidates by ascending preference class and cost
 void DrawByRoom(std::vector<scored_server>& aCandidates, const mean_load& aMean,
                 std::mt19937_64& aRandom, time_point aNow)
 {
+  const std::int64_t tokens = aCandidates.front().mPrefillTokens;
   const int rank = RankOf(*aCandidates.front().mServer, aNow);
-  const auto end = std::find_if(aCandidates.begin(), aCandidates.end(),
-                                [rank, aNow](const scored_server& aCandidate) {
-                                  return RankOf(*aCandidate.mServer, aNow) != rank;
-                                });
   std::vector<double> costs;
-  costs.reserve(aCandidates.size());
-  std::transform(aCandidates.begin(), end, std::back_inserter(costs),
-                 [](const scored_server& aCandidate) { return aCandidate.mCostMs; });
+  std::vector<std::size_t> drawn;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (aCandidates[i].mPrefillTokens <= tokens && RankOf(*aCandidates[i].mServer, aNow) == rank) {
+      costs.push_back(aCandidates[i].mCostMs);
+      drawn.push_back(i);
+    }
+  }
   const double arrivingMs = aMean.mArrivingMs * static_cast<double>(costs.size());
   std::uniform_real_distribution<double> point(0.0, 1.0);
-  std::swap(aCandidates.front(), aCandidates[IndexByRoom(costs, arrivingMs, point(aRandom))]);
+  std::swap(aCandidates.front(),
+            aCandidates[drawn[IndexByRoom(costs, arrivingMs, point(aRandom))]]);
 }
 
 void RemoveOlderHalf(prefix_caches& aCaches)
@@ -198,6 +201,32 @@
 
 } // namespace
 
+service_load LoadOf(const backends::fleet& aFleet, const demand& aDemand,
+                    const choice_options& aOptions, time_point aNow)
+{
+  constexpr std::size_t kLeastShare = 10; // a tenth
+  const mean_load mean = MeanLoad(aFleet, aDemand, aNow);
+  std::vector<double> waits;
+  std::size_t busy = 0;
+  for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
+    const bool isFull = IsFull(*server, aNow);
+    if (server->mAnnounced.mIsLeaving || !backends::TakesRequests(*server, aNow) ||
+        !aDemand.mIsAllowed(*server) || (RankOf(*server, aNow) > 0 && !isFull)) {
+      continue;
+    }
+    waits.push_back(WaitMs(*server, aDemand, mean, aOptions, aNow));
+    busy += isFull || waits.back() > aDemand.mTurnMs ? 1 : 0;
+  }
+  if (waits.empty()) {
+    return {};
+  }
+  std::sort(waits.begin(), waits.end());
+  return { .mServers = waits.size(),
+           .mMedianWaitMs = waits[waits.size() / 2],
+           .mLeastWaitMs = waits[waits.size() / kLeastShare],
+           .mBusyShare = static_cast<double>(busy) / static_cast<double>(waits.size()) };
+}
+
 choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prefix_caches& aCaches,
               const choice_options& aOptions, std::mt19937_64& aRandom, time_point aNow)
 {
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -49,12 +49,13 @@
 /// Weights of the choice.
 struct choice_options
 {
-  /// Weight of the request's own prefill against the server's queue. Processing a cached part again
-  /// delays all later requests, so the queue mostly decides between servers with equal prefill.
-  double mPrefillWeight = 40;
+  /// Weight of the request's own prefill against the server's queue: at an engine that is busy for
+  /// 0.9 of the time, each ms of added work delays later requests by 1 / (1 - 0.9) ms in total.
+  double mPrefillWeight = 10;
   /// While the wait at a server exceeds the prefill of a shared part, and the servers' mean wait by
   /// this factor, the next server holds the part too.
   double mLongWaitFactor = 2;
+  std::size_t mMaxHolders = 16;     ///< servers that may hold a part in high demand, at most 16
   double mFailurePenaltyMs = 3000;  ///< penalty at a failure share of 1
   double mToleratedFailures = 0.2;  ///< failure share without a penalty
   double mUnreachedPenaltyMs = 500; ///< per failed connect in the data centre
@@ -88,6 +89,20 @@
   bool mIsUnobstructed = false;    ///< no other prompt waits at the server, as far as known
 };
 
+/// Load of a service's usable servers at one moment, for decisions on admission and escalation.
+struct service_load
+{
+  std::size_t mServers = 0; ///< usable ones
+  double mMedianWaitMs = 0; ///< expected wait of a new request at the median server
+  double mLeastWaitMs = 0;  ///< at the least loaded tenth
+  double mBusyShare = 0;    ///< share of the servers whose wait exceeds `demand::mTurnMs`
+};
+
+/// The load of the servers that the request may use now, without suspect, missing and cold ones. A
+/// server that is full until its next report counts as busy.
+service_load LoadOf(const backends::fleet& aFleet, const demand& aDemand,
+                    const choice_options& aOptions, time_point aNow);
+
 /// Picks the server with the least expected delay, from the tokens it has to prefill, its queue and
 /// its recent failures and delays. Suspect and cold servers are used only if there is no other.
 ///
--- a/src/placement/choose_test.cpp
+++ b/src/placement/choose_test.cpp
@@ -243,3 +243,25 @@
   CHECK(only.mCostMs > 1000);
   CHECK(only.mWaitMs < 10);
 }
+
+// Guards against admission and escalation that go by one busy server, or by none at all.
+TEST_CASE("the load of a service shows its median and least wait, and which servers are busy")
+{
+  backends::fleet fleet = MakeFleet(10);
+  const auto server = [&fleet](int aNumber) -> backends::backend_server& {
+    return *fleet.mServers.at(server_id("s-" + std::to_string(aNumber)));
+  };
+  for (int i = 0; i < 8; ++i) {
+    server(i).mPrefillMs = 100.0 * i;
+  }
+  server(8).mSuspectUntil = kStart + 1s;
+  server(9).mPooled = { .mFullAt = kStart, .mExpiresAt = kStart + 1s };
+  demand demand = MakeDemand(1, 2);
+  demand.mTurnMs = 50;
+  const service_load load = LoadOf(fleet, demand, {}, kStart);
+  CHECK(load.mServers == 9);
+  CHECK(load.mLeastWaitMs < 10);
+  CHECK(load.mMedianWaitMs == doctest::Approx(300).epsilon(0.02));
+  CHECK(load.mBusyShare == doctest::Approx(8.0 / 9));
+  CHECK(LoadOf(MakeFleet(0), demand, {}, kStart).mServers == 0);
+}
--- a/src/placement/server_room.cpp
+++ b/src/placement/server_room.cpp
@@ -49,7 +49,6 @@
     const backends::remote_load& load = server->mRemoteLoad;
     ++servers;
     mean.mRequests += load.mRequests;
-    mean.mPrefillMs += load.mPrefillMs;
     // As much arrives as is worked off: an engine does one prefill at a time, a plain server
     // handles its requests side by side.
     const double busy = isPlain ? load.mRequests : std::min(1.0, load.mPrefillMs);
@@ -58,7 +57,6 @@
   if (servers > 0) {
     mean.mIsKnown = true;
     mean.mRequests /= servers;
-    mean.mPrefillMs /= servers;
     mean.mRequestMs = isPlain ? aDemand.mTurnMs : 0;
     mean.mArrivingMs = busyMs / servers;
   }
@@ -77,8 +75,7 @@
   const backends::remote_load& load = aServer.mRemoteLoad;
   return { .mRequests =
              aServer.mInFlight + aMean.mRequests + kept * (load.mRequests - aMean.mRequests),
-           .mPrefillMs = aServer.mPrefillMs + load.mPrefillMs +
-                         std::clamp(aMean.mPrefillMs - load.mPrefillMs, -workedMs, workedMs) };
+           .mPrefillMs = aServer.mPrefillMs + std::max(0.0, load.mPrefillMs - workedMs) };
 }
 
 bool IsFull(const backends::backend_server& aServer, time_point aNow)
--- a/src/placement/server_room.h
+++ b/src/placement/server_room.h
@@ -13,7 +13,6 @@
 {
   bool mIsKnown = false; ///< without reports, the instance's own load counts alone
   double mRequests = 0;
-  double mPrefillMs = 0;
   double mRequestMs = 0;  ///< time that a request stays at a server; 0: not known
   double mArrivingMs = 0; ///< work that others send to a server until the next report
 };
@@ -28,9 +27,10 @@
 /// The mean over the service's servers, as last reported.
 mean_load MeanLoad(const backends::fleet& aFleet, const demand& aDemand, time_point aNow);
 
-/// Carries the reported load on to `aNow`. What a server has ended since is replaced by what others
-/// send to all servers alike, so its load approaches the mean: prompts by one ms of prefill in each
-/// ms, and plain calls by the share that ends meanwhile.
+/// Carries the reported load on to `aNow`. Plain calls that have most likely ended are replaced by
+/// what others send to all servers alike, so their number approaches the mean. An engine works off
+/// one ms of prefill in each ms; others send prompts to the engines that hold their parts, which no
+/// mean tells.
 expected_load LoadAt(const backends::backend_server& aServer, const mean_load& aMean,
                      time_point aNow);
 
--- a/src/placement/shared_load_test.cpp
+++ b/src/placement/shared_load_test.cpp
@@ -25,11 +25,16 @@
   double mRequestsPerSecond = 110; ///< half of the engines' capacity with all parts cached
   double mPrefillWeight = choice_options{}.mPrefillWeight;
   bool mExchangesLoads = true;
+  double mHotShare = 0; ///< share of the requests that use one subject
+  duration mReportInterval = 200ms;
+  bool mSpreadsLoad = true;
+  std::size_t mMaxHolders = choice_options{}.mMaxHolders;
 };
 
 /// An engine that processes one prompt after the other.
 struct engine
 {
+  double mWorkMs = 0;
   time_point mFreeAt = kStart;
   std::map<std::uint64_t, time_point> mCached; ///< last use of each shared part
   std::vector<std::pair<time_point, std::pair<std::size_t, double>>> mPrefilling;
@@ -37,7 +42,8 @@
 
 struct outcome
 {
-  double mLate = 0; ///< share of requests whose first event misses the target latency
+  double mLate = 0;       ///< share of requests whose first event misses the target latency
+  double mUnevenness = 0; ///< engine time of the busiest engine against the mean
   double mRepeatedPrefills =
     0; ///< share of requests whose part was prefilled though another engine cached it
 };
@@ -46,10 +52,11 @@
 {
   constexpr duration kTargetLatency = 2s;
   constexpr duration kDuration = 40s;
-  constexpr duration kReportInterval = 200ms;
   std::mt19937_64 random(aSeed);
   choice_options options;
   options.mPrefillWeight = aLoad.mPrefillWeight;
+  options.mMaxHolders = aLoad.mMaxHolders;
+  options.mSpreadsLoad = aLoad.mSpreadsLoad;
   std::vector<backends::fleet> fleets(aLoad.mInstances);
   std::vector<prefix_caches> caches(aLoad.mInstances);
   for (auto& fleet : fleets) {
@@ -82,7 +89,7 @@
         return true;
       });
     }
-    if (aLoad.mExchangesLoads && now - lastReport >= kReportInterval) {
+    if (aLoad.mExchangesLoads && now - lastReport >= aLoad.mReportInterval) {
       lastReport = now;
       for (std::size_t i = 0; i < fleets.size(); ++i) {
         RecordReport(board, std::to_string(i), OwnLoads(fleets[i]), now);
@@ -92,7 +99,8 @@
       }
     }
     const std::size_t instance = random() % fleets.size();
-    const std::uint64_t subject = 1 + random() % aLoad.mSubjects;
+    const bool isHot = aLoad.mHotShare > 0 && std::bernoulli_distribution(aLoad.mHotShare)(random);
+    const std::uint64_t subject = isHot ? 1 : 1 + random() % aLoad.mSubjects;
     demand demand;
     demand.mService = service_id("llm");
     demand.mDataCentre = data_centre_id("a");
@@ -118,6 +126,7 @@
                   ? 1
                   : 0;
     engine.mCached[subject] = now;
+    engine.mWorkMs += tokens / kTokensPerMs;
     engine.mFreeAt = std::max(engine.mFreeAt, now) +
                      std::chrono::duration_cast<duration>(
                        std::chrono::duration<double, std::milli>(tokens / kTokensPerMs));
@@ -127,7 +136,14 @@
     ++total;
     late += engine.mFreeAt - now > kTargetLatency ? 1 : 0;
   }
+  double sum = 0;
+  double most = 0;
+  for (const auto& [id, engine] : engines) {
+    sum += engine.mWorkMs;
+    most = std::max(most, engine.mWorkMs);
+  }
   return { .mLate = static_cast<double>(late) / total,
+           .mUnevenness = most * aLoad.mServers / sum,
            .mRepeatedPrefills = static_cast<double>(repeated) / total };
 }
 
@@ -138,6 +154,7 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const outcome one = Simulate(aLoad, seed);
     mean.mLate += one.mLate / kSeeds;
+    mean.mUnevenness += one.mUnevenness / kSeeds;
     mean.mRepeatedPrefills += one.mRepeatedPrefills / kSeeds;
   }
   return mean;
@@ -166,3 +183,43 @@
   CHECK(weighted.mRepeatedPrefills < unweighted.mRepeatedPrefills);
   CHECK(weighted.mLate <= unweighted.mLate);
 }
+
+// Guards against a part in high demand whose few holders are overloaded while other engines idle.
+TEST_CASE("a hot part gets as many servers as its load needs, from reports up to 0.4 s old")
+{
+  struct load_case
+  {
+    double mRequestsPerSecond;
+    double mMaxLate;
+  };
+  for (const load_case& one : { load_case{ 110, 0.01 }, load_case{ 160, 0.1 } }) {
+    simulated_load load{ .mRequestsPerSecond = one.mRequestsPerSecond,
+                         .mHotShare = 0.25,
+                         .mReportInterval = 400ms };
+    const outcome many = Mean(load);
+    load.mPrefillWeight = 40;
+    load.mSpreadsLoad = false;
+    load.mMaxHolders = 3;
+    const outcome few = Mean(load);
+    MESSAGE("late: " << many.mLate << ", three holders " << few.mLate << "; busiest to mean "
+                     << many.mUnevenness << ", " << few.mUnevenness << "; repeated prefills "
+                     << many.mRepeatedPrefills << ", " << few.mRepeatedPrefills);
+    CHECK(many.mLate < one.mMaxLate);
+    CHECK(many.mLate < few.mLate);
+    CHECK(many.mUnevenness < few.mUnevenness);
+  }
+}
+
+// Guards against spreading requests in calm, which would prefill shared parts again.
+TEST_CASE("in calm no more shared parts are prefilled again than by the least loaded server")
+{
+  simulated_load load{ .mReportInterval = 400ms };
+  const outcome spread = Mean(load);
+  load.mPrefillWeight = 40;
+  load.mSpreadsLoad = false;
+  load.mMaxHolders = 3;
+  const outcome least = Mean(load);
+  MESSAGE("repeated prefills: " << spread.mRepeatedPrefills << ", " << least.mRepeatedPrefills);
+  CHECK(spread.mRepeatedPrefills <= least.mRepeatedPrefills);
+  CHECK(spread.mLate <= least.mLate);
+}
