--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -2,6 +2,7 @@
 
 #include "backends/evidence.h"
 #include "base/digest.h"
+#include "placement/server_room.h"
 
 #include <algorithm>
 #include <array>
@@ -79,7 +80,7 @@
   return static_cast<double>(tokens) * aDemand.mPrefill.mMsPerToken;
 }
 
-constexpr std::size_t kMaxHolders = 3; ///< servers that may cache a part in high demand
+constexpr std::size_t kMaxHolders = choice_options{}.mMaxHolders;
 
 /// A candidate and its rendezvous weight for the shared parts.
 struct ranked_candidate
@@ -98,22 +99,23 @@
   }
 }
 
-/// Preference class: usable servers first, then missing and cold ones, then suspects.
+/// Preference class: usable servers first, then missing, full and cold ones, then suspects.
 int RankOf(const backends::backend_server& aServer, time_point aNow)
 {
   if (backends::IsSuspect(aServer, aNow)) {
     return 2;
   }
-  return backends::IsCold(aServer, aNow) || aServer.mMissingSince ? 1 : 0;
+  return backends::IsCold(aServer, aNow) || aServer.mMissingSince || IsFull(aServer, aNow) ? 1 : 0;
 }
 
 /// Expected delay at a server, without the prefill of the request's own prompt.
 double WaitMs(const backends::backend_server& aServer, const demand& aDemand,
-              const choice_options& aOptions, time_point aNow)
+              const mean_load& aMean, const choice_options& aOptions, time_point aNow)
 {
-  double wait = backends::RequestsAt(aServer, aNow) * aDemand.mTurnMs;
+  const expected_load load = LoadAt(aServer, aMean, aNow);
+  double wait = load.mRequests * aDemand.mTurnMs;
   if (!aDemand.mParts.empty()) {
-    wait += backends::PrefillMsAt(aServer, aNow);
+    wait += load.mPrefillMs;
   }
   wait += std::chrono::duration<double, std::milli>(backends::DelayOf(aServer, aNow)).count();
   return wait +
@@ -155,13 +157,36 @@
   const auto isBusy = [&](const scored_server& aCandidate) {
     return aCandidate.mCostMs > longWait || RankOf(*aCandidate.mServer, aNow) > 0;
   };
-  while (count < std::min(kMaxHolders, aCandidates.size()) &&
+  while (count < std::min({ aOptions.mMaxHolders, kMaxHolders, aCandidates.size() }) &&
          isBusy(aCandidates[aHolders[count - 1].mCandidate])) {
     ++count;
   }
   return count;
 }
 
+/// Moves a candidate to the front that is drawn among those of the front's preference class which
+/// have no more to prefill: in proportion to the room left there when what others send until the
+/// next report has filled the least loaded ones.
+/// \param aCandidates by ascending preference class and cost
+void DrawByRoom(std::vector<scored_server>& aCandidates, const mean_load& aMean,
+                std::mt19937_64& aRandom, time_point aNow)
+{
+  const std::int64_t tokens = aCandidates.front().mPrefillTokens;
+  const int rank = RankOf(*aCandidates.front().mServer, aNow);
+  std::vector<double> costs;
+  std::vector<std::size_t> drawn;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (aCandidates[i].mPrefillTokens <= tokens && RankOf(*aCandidates[i].mServer, aNow) == rank) {
+      costs.push_back(aCandidates[i].mCostMs);
+      drawn.push_back(i);
+    }
+  }
+  const double arrivingMs = aMean.mArrivingMs * static_cast<double>(costs.size());
+  std::uniform_real_distribution<double> point(0.0, 1.0);
+  std::swap(aCandidates.front(),
+            aCandidates[drawn[IndexByRoom(costs, arrivingMs, point(aRandom))]]);
+}
+
 void RemoveOlderHalf(prefix_caches& aCaches)
 {
   std::vector<time_point> times;
@@ -177,6 +202,32 @@
 
 } // namespace
 
+service_load LoadOf(const backends::fleet& aFleet, const demand& aDemand,
+                    const choice_options& aOptions, time_point aNow)
+{
+  constexpr std::size_t kLeastShare = 10; // a tenth
+  const mean_load mean = MeanLoad(aFleet, aDemand, aNow);
+  std::vector<double> waits;
+  std::size_t busy = 0;
+  for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
+    const bool isFull = IsFull(*server, aNow);
+    if (server->mAnnounced.mIsLeaving || !backends::TakesRequests(*server, aNow) ||
+        !aDemand.mIsAllowed(*server) || (RankOf(*server, aNow) > 0 && !isFull)) {
+      continue;
+    }
+    waits.push_back(WaitMs(*server, aDemand, mean, aOptions, aNow));
+    busy += isFull || waits.back() > aDemand.mTurnMs ? 1 : 0;
+  }
+  if (waits.empty()) {
+    return {};
+  }
+  std::sort(waits.begin(), waits.end());
+  return { .mServers = waits.size(),
+           .mMedianWaitMs = waits[waits.size() / 2],
+           .mLeastWaitMs = waits[waits.size() / kLeastShare],
+           .mBusyShare = static_cast<double>(busy) / static_cast<double>(waits.size()) };
+}
+
 choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prefix_caches& aCaches,
               const choice_options& aOptions, std::mt19937_64& aRandom, time_point aNow)
 {
@@ -185,6 +236,7 @@
   std::vector<scored_server> candidates;
   std::array<ranked_candidate, kMaxHolders> holders; // by descending weight
   bool wasTried = false;
+  const mean_load mean = aOptions.mSpreadsLoad ? MeanLoad(aFleet, aDemand, aNow) : mean_load{};
   for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
     if (server->mAnnounced.mIsLeaving || server->mSaysItLeaves || !aDemand.mIsAllowed(*server)) {
       continue;
@@ -202,7 +254,7 @@
     const std::uint64_t hash = StableHash(server->mAnnounced.mId.Value());
     const std::uint64_t weight = Mix(shared, hash);
     InsertByWeight(holders, { .mWeight = weight, .mCandidate = candidates.size() });
-    const double waitMs = WaitMs(*server, aDemand, aOptions, aNow);
+    const double waitMs = WaitMs(*server, aDemand, mean, aOptions, aNow);
     candidates.push_back(
       scored_server{ .mServer = server,
                      .mWaitMs = waitMs,
@@ -242,6 +294,7 @@
               const int rightRank = RankOf(*aRight.mServer, aNow);
               return leftRank != rightRank ? leftRank < rightRank : aLeft.mCostMs < aRight.mCostMs;
             });
+  DrawByRoom(candidates, mean, aRandom, aNow);
   for (const scored_server& candidate : candidates) {
     if (backends::IsCold(*candidate.mServer, aNow) &&
         !aDemand.mAcquireColdSlot(*candidate.mServer)) {
