Escalate by the going rate of engine time

The share of busy time that was to hold escalations back compares times to first events with the estimate of an idle engine's.

Pressure is now the wait beyond the least time of the route's smallest model, as a share of the time that the caller can spare for one run, scaled by the requests in flight over all instances. While the largest model's speed is unknown, the earlier rule holds. In call.h: the answer that was given up, so that the gain can be learned.

The new path test fails with the held share fixed at 0 (the larger model still runs while the first takes 300 ms of 1,000 ms).

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -12,6 +12,13 @@
 
 namespace tamarackweir::gateway {
 
+/// An answer that was given up for one of a larger model.
+struct doubted_answer
+{
+  std::size_t mModelIndex = 0;
+  int mConfidence = 0; ///< percent
+};
+
 /// State of a caller's request while the gateway handles it.
 struct call
 {
@@ -29,6 +36,7 @@
   quarantine::cause_key mFingerprint;         ///< of the request, see `FingerprintOf`
 
   std::size_t mModelIndex = 0; ///< index into the route's models
+  std::optional<doubted_answer> mDoubted;
   std::vector<server_id> mTriedServers;
   int mAttempts = 0;
   int mRuns = 0;                            ///< attempts that may have run
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -2,12 +2,12 @@
 #include "gateway/answer_end.h"
 #include "gateway/call.h"
 #include "gateway/crash_reports.h"
+#include "gateway/escalation.h"
 #include "gateway/shift_results.h"
 #include "observe/event_log.h"
 #include "relay/sse_splitter.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace tamarackweir::gateway {
 
@@ -163,35 +163,6 @@
                                                                                 : run_end::Broken;
 }
 
-/// Moves the call to a larger model if that one is to run instead of delivering this answer, and
-/// its answer can begin before the caller's deadline; charges the retry budget.
-bool Escalates(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome,
-               const delivery& aDelivery)
-{
-  if (aDelivery.mStarted || aCall.mRoute->mModels.empty() || !aCall.mHeader.mAnyModel) {
-    return false;
-  }
-  const attempt_history history = HistoryOf(aState, aCall);
-  const cascade::confidence_step step{
-    .mModelIndex = aCall.mModelIndex,
-    .mModelCount = aCall.mRoute->mModels.size(),
-    .mConfidence = aOutcome.mHeader.mConfidence,
-    .mLoad = aState.mEngineLoads[aCall.mService].mBusyShare,
-    .mMayRunAgain = history.mIsIdempotent && history.mRuns < history.mMaxRuns,
-  };
-  const auto next = cascade::NextModel(step, aState.mOptions.mConfidence);
-  if (!next) {
-    return false;
-  }
-  // The time that another attempt takes is that of the larger model.
-  const std::size_t answered = std::exchange(aCall.mModelIndex, *next);
-  if (!ConsumeRetry(aState, aCall, attempt_result::Failure)) {
-    aCall.mModelIndex = answered;
-    return false;
-  }
-  return true;
-}
-
 const char* NameOf(run_end aEnd)
 {
   switch (aEnd) {
@@ -238,6 +209,7 @@
       outcome.mAttempt != nullptr ? net::Now() - outcome.mAttempt->Started() : duration::zero();
     const std::shared_ptr<net::exchange> open = aCall.mExchange;
     FinishAttempt(aState, aCall, outcome, time);
+    RecordRun(aState, aCall, outcome, time);
     if (aCall.mCaller->IsGone()) {
       if (outcome.mExchange != nullptr) {
         outcome.mExchange->Close();
@@ -258,9 +230,8 @@
                           duration::zero(), net::Now());
     } else if (result == attempt_result::Success &&
                outcome.mExchange->Header().result_int() < 300) {
-      if (Escalates(aState, aCall, outcome, delivered)) {
+      if (!delivered.mStarted && Escalates(aState, aCall, outcome)) {
         outcome.mExchange->Close();
-        aCall.mTriedServers.clear();
         continue;
       }
       aCall.mExchange = open;
@@ -299,6 +270,7 @@
       LogRun(aCall, outcome, delivered, end);
       if (end == run_end::Complete) {
         RecordWholeAnswer(aState, aCall);
+        RecordEvents(aState, aCall, delivered.mEvents);
         const auto failure = co_await aCall.mCaller->FinishBody();
         LogEnd(aState, aCall, 200, failure ? "caller_lost" : "answered");
         co_return;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -3,6 +3,7 @@
 #include "backends/fleet.h"
 #include "base/duty_roster.h"
 #include "cascade/confidence.h"
+#include "cascade/engine_time.h"
 #include "gateway/dialect.h"
 #include "gateway/quantile_estimate.h"
 #include "net/byte_budget.h"
@@ -64,6 +65,7 @@
   deployment_bounds mBounds;
   placement::choice_options mPlacement;
   cascade::confidence_options mConfidence;
+  cascade::engine_time_options mEngineTime;
   rollout::shift_options mShift;
 };
 
@@ -105,6 +107,9 @@
   /// answer, by route.
   std::unordered_map<std::string, quantile_estimate> mPaces;
   std::unordered_map<service_id, placement::engine_load> mEngineLoads;
+  std::unordered_map<service_id, cascade::going_rate> mGoingRates;
+  /// By route and model.
+  std::unordered_map<std::string, cascade::escalation_record> mEscalations;
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
   /// Calls that are being handled. Shared with them, as they may outlive the state at the end of
