Bound the memory that a gateway holds for callers' requests

Cause: each connection kept whatever its caller sent, up to the body limit, and each attempt copied the body.

When it is short, large requests pause first; then requests that are still arriving give way by bytes times the time held, and the one that asks is refused with 503 not_run if it is the costliest. Attempts send the body without a copy. The receive buffer of a connection is 32 KiB. Large blocks return to the system when they are released.

The test of framing moves a request that it copied, since a request now holds a claim on memory.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -4,6 +4,7 @@
 #include "gateway/answer_end.h"
 #include "gateway/crash_reports.h"
 #include "gateway/server_choice.h"
+#include "gateway/server_message.h"
 #include "gateway/shift_results.h"
 #include "observe/event_log.h"
 
@@ -316,16 +317,7 @@
                           .mUrgency = aCall.mAccount != nullptr && aCall.mAccount->mUrgency
                                         ? aCall.mAccount->mUrgency->Value()
                                         : aCall.mRoute->mUrgency.Value() };
-  auto message = std::make_shared<net::outbound_request>();
-  aState.mDialect.mWriteCall(*aCall.mRequest, details, *message);
-  message->method_string(aCall.mRequest->mMethod);
-  message->target(aCall.mRequest->mTarget);
-  message->body() = aCall.mRequest->mBody;
-  if (!message->body().empty() ||
-      aCall.mRequest->mHeader.count(net::http::field::content_length) > 0 ||
-      aCall.mRequest->mHeader.count(net::http::field::transfer_encoding) > 0) {
-    message->content_length(message->body().size());
-  }
+  auto message = MessageFor(aState, aCall, details);
   const attempt_history history = HistoryOf(aState, aCall);
   placement::RecordPrefill(aState.mPrefixCaches, announced.mId, demand, sending);
   ++aCall.mRuns;
@@ -477,6 +469,9 @@
   answer.reason(header.reason());
   answer.body() = std::move(aOutcome.mBody);
   const int status = static_cast<int>(header.result_int());
+  // The exchange is closed, and the caller may be slow to read.
+  std::string().swap(aCall.mRequest->mBody);
+  (void)aCall.mRequest->mClaim.TryResize(0);
   const auto failure = co_await aCall.mCaller->Answer(answer);
   LogEnd(aState, aCall, status, failure ? "caller_lost" : "answered");
 }
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -66,8 +66,7 @@
   call_header (*mReadCall)(const net::inbound_request&) = nullptr;
   /// Writes the header of the request to the backend server: the caller's without hop-by-hop fields
   /// and fields that the gateway sets, plus the values of the dispatch.
-  void (*mWriteCall)(const net::inbound_request&, const dispatch&,
-                     net::outbound_request&) = nullptr;
+  void (*mWriteCall)(const net::inbound_request&, const dispatch&, net::http::fields&) = nullptr;
   answer_header (*mReadAnswer)(const net::http::response_header<>&,
                                const std::string& aAttempt) = nullptr;
   /// Writes the header of the answer to the caller: the server's without hop-by-hop fields.
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -44,6 +44,8 @@
   /// Memory for all answers that are read whole before they are passed on, and for events that are
   /// incomplete; a further one is given up.
   std::size_t mAnswerBytes = std::size_t{ 64 } << 20U;
+  /// Memory for the headers and bodies of all callers' requests.
+  std::size_t mCallerBytes = std::size_t{ 64 } << 20U;
   /// Longest time for which a server may close itself to this instance at once; so that a garbled
   /// answer does not take it away for good.
   duration mMaxServerWait = std::chrono::minutes(10);
--- a/src/net/byte_budget.h
+++ b/src/net/byte_budget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/loop.h"
+
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -12,6 +14,7 @@
 struct byte_holder
 {
   std::size_t mBytes = 0;
+  time_point mSince{};           ///< since when it has held any
   std::function<void()> mGiveUp; ///< releases the bytes at once; empty: they must be kept
   bool mIsGivenUp = false;
 };
@@ -20,13 +23,16 @@
 struct byte_budget
 {
   std::size_t mLimit = 0;
+  std::size_t mReserve = 0; ///< of the limit, for claims of at most `mSmallBytes`
+  std::size_t mSmallBytes = 0;
   std::size_t mUsed = 0;
   std::set<byte_holder*> mHolders;
 };
 
-/// Releases the bytes of the largest holder that has more than `aBytes` and can be interrupted, so
-/// that `aBytes` fit. Returns false if there is none.
-bool GiveUpLargest(byte_budget& aBudget, std::size_t aBytes);
+/// Releases the bytes of the holder with the highest cost that can be interrupted, if it is above
+/// the cost of `aBytes` held since `aSince`. The cost is bytes times the time that they were held:
+/// it is highest for those that are large or slow. Returns false if there is none.
+bool GiveUpCostliest(byte_budget& aBudget, std::size_t aBytes, time_point aSince, time_point aNow);
 
 /// What one holder uses of a budget; returned when the claim is destroyed. Without a budget a claim
 /// is never refused.
@@ -58,9 +64,13 @@
   }
 
   /// Changes the claim to `aBytes`; a smaller claim is always granted. When the budget is short the
-  /// largest holder gives way, because a small answer is more likely to end than a large one.
-  /// Returns false, and changes nothing, if the claim itself would be the largest.
-  bool TryResize(std::size_t aBytes);
+  /// costliest holders give way, because a small message is more likely to end than a large one.
+  /// Returns false, and leaves the claim as it is, if the claim itself would be the costliest.
+  /// Without `aNow` the time held does not count.
+  bool TryResize(std::size_t aBytes, time_point aNow = {});
+
+  /// Whether the claim can be changed to `aBytes` without another one giving way.
+  bool Fits(std::size_t aBytes) const;
 
   /// Sets what releases the bytes when this claim gives way; with null it never does.
   void OnGiveWay(std::function<void()> aGiveUp)
--- a/src/net/byte_budget_test.cpp
+++ b/src/net/byte_budget_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace tamarackweir::net;
+using namespace std::chrono_literals;
 
 TEST_CASE("a short budget: the largest claim that can gives way, and only to a smaller one")
 {
@@ -30,6 +31,35 @@
   CHECK(asking.TryResize(1000));
 }
 
+// Guards against callers that keep memory from others by sending slowly.
+TEST_CASE("a short budget: a small claim that is held for long gives way before a new large one")
+{
+  const auto budget = std::make_shared<byte_budget>();
+  budget->mLimit = 100;
+  byte_claim slow(budget);
+  byte_claim large(budget);
+  byte_claim asking(budget);
+  const tamarackweir::time_point start{ 1h };
+  const way_giver slowGives(&slow, [] {});
+  const way_giver largeGives(&large, [] {});
+  CHECK((slow.TryResize(20, start) && large.TryResize(80, start + 10s)));
+  CHECK(asking.TryResize(20, start + 10s));
+  CHECK((slow.IsGivenUp() && !large.IsGivenUp()));
+}
+
+// Guards against large requests that leave no memory for ordinary ones.
+TEST_CASE("the reserve of a budget is for small claims")
+{
+  const auto budget = std::make_shared<byte_budget>();
+  *budget = { .mLimit = 100, .mReserve = 25, .mSmallBytes = 10 };
+  byte_claim large(budget);
+  CHECK_FALSE(large.TryResize(76));
+  CHECK(large.TryResize(75));
+  byte_claim small(budget);
+  CHECK(small.TryResize(10));
+  CHECK_FALSE(small.TryResize(11));
+}
+
 TEST_CASE("a claim that is moved or destroyed returns its bytes once")
 {
   const auto budget = std::make_shared<byte_budget>();
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/caller_connection.h"
 
+#include "observe/event_log.h"
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -17,6 +19,14 @@
 /// How long a caller that has received its last answer may go on before its connection is closed.
 constexpr duration kLingerLimit = 500ms;
 
+/// Bytes that are read at a time to be discarded.
+constexpr std::size_t kDiscardBytes = std::size_t{ 1 } << 12U;
+
+/// How long the rest of a request is left unread while memory is short, before others give way to
+/// it: the time in which a burst of short calls is answered and their memory is free again.
+constexpr duration kMaxPause = 500ms;
+constexpr duration kPauseStep = 10ms;
+
 } // namespace
 
 const char* ToString(connection_phase aPhase)
@@ -45,15 +55,20 @@
       return "server";
     case connection_end::Stop:
       return "stop";
+    case connection_end::Memory:
+      return "memory";
   }
   return "unknown";
 }
 
 caller_connection::caller_connection(tcp::socket aSocket, const caller_limits& aLimits,
-                                     std::shared_ptr<connection_counts> aCounts)
+                                     std::shared_ptr<connection_counts> aCounts,
+                                     std::shared_ptr<byte_budget> aBudget)
   : mSocket(std::move(aSocket))
   , mWatchdog(mSocket)
   , mSilenceWatch(mSocket, silence_limits{}.mUnacknowledged)
+  , mBudget(std::move(aBudget))
+  , mClaim(NewClaim())
   , mLimits(aLimits)
   , mCounts(std::move(aCounts))
 {
@@ -200,7 +215,7 @@
 void caller_connection::Discard(std::shared_ptr<asio::steady_timer> aOnEnd)
 {
   mBuffer.clear();
-  const auto room = mBuffer.prepare(std::min(mBuffer.max_size(), kMaxPipelinedBytes));
+  const auto room = mBuffer.prepare(std::min(mBuffer.max_size(), kDiscardBytes));
   mSocket.async_read_some(
     room, [self = shared_from_this(), timer = std::move(aOnEnd)](error_code aFailure, std::size_t) {
       if (aFailure) {
@@ -215,6 +230,8 @@
 task<> caller_connection::Linger()
 {
   const time_point end = Now() + WriteLimit();
+  mBuffer.clear();
+  ReleaseBuffer();
   error_code ignoredAsClosedAnyway;
   mSocket.shutdown(tcp::socket::shutdown_send, ignoredAsClosedAnyway);
   mSilenceWatch.Start();
@@ -257,6 +274,33 @@
   }
 }
 
+task<bool> caller_connection::AwaitRoom(std::size_t aBytes)
+{
+  const bool isSmall = mBudget != nullptr && aBytes <= mBudget->mSmallBytes;
+  const time_point end = isSmall ? time_point{} : Now() + kMaxPause;
+  while (!mClaim.Fits(aBytes) && mSocket.is_open() && Now() < end) {
+    co_await SleepFor(mSocket.get_executor(), kPauseStep);
+  }
+  co_return mClaim.TryResize(aBytes, Now());
+}
+
+void caller_connection::GiveWay(std::size_t aBodyBytes)
+{
+  observe::event_line("connection_closed_for_memory")
+    .Number("body_bytes", static_cast<std::int64_t>(aBodyBytes))
+    .Number("held", static_cast<std::int64_t>(mBudget->mUsed))
+    .Number("limit", static_cast<std::int64_t>(mBudget->mLimit))
+    .Write();
+  CloseFor(connection_end::Memory);
+}
+
+void caller_connection::ReleaseBuffer()
+{
+  mBuffer.shrink_to_fit();
+  mClaim = NewClaim();
+  (void)mClaim.TryResize(mBuffer.size(), Now());
+}
+
 void caller_connection::Watch()
 {
   if (mIsWatched || !mSocket.is_open()) {
@@ -275,13 +319,12 @@
       // A pipelined request. Its bytes are kept; once there are too many, the wait ends.
       const std::size_t room =
         kMaxPipelinedBytes - std::min(kMaxPipelinedBytes, self->mBuffer.size());
-      if (room == 0) {
+      error_code failure;
+      const std::size_t waiting = std::min<std::size_t>(room, self->mSocket.available(failure));
+      if (room == 0 || !self->mClaim.TryResize(self->mBuffer.size() + waiting, Now())) {
         return;
       }
-      error_code failure;
-      const std::size_t size = self->mSocket.read_some(
-        self->mBuffer.prepare(std::min<std::size_t>(room, self->mSocket.available(failure))),
-        failure);
+      const std::size_t size = self->mSocket.read_some(self->mBuffer.prepare(waiting), failure);
       self->mBuffer.commit(size);
       if (!failure) {
         self->Watch();
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/byte_budget.h"
 #include "net/exchange.h"
 #include "net/loop.h"
 #include "net/silence.h"
@@ -40,6 +41,7 @@
   std::string mTarget;
   http::fields mHeader;
   std::string mBody;
+  byte_claim mClaim;     ///< on the memory of its header and body
   time_point mArrived{}; ///< when the first byte of the header was there
 };
 
@@ -63,8 +65,9 @@
   Timeout, ///< a phase took longer than its limit
   Server,  ///< closed here, in order or because the handler gave up
   Stop,    ///< closed here at the end of the process
+  Memory,  ///< closed here, as it held memory that others need, before its request was read whole
 };
-inline constexpr std::size_t kConnectionEnds = 4;
+inline constexpr std::size_t kConnectionEnds = 5;
 const char* ToString(connection_end aEnd);
 
 /// Counts since the start. `mAccepted` is the sum of `mEnded` and the open connections; `mRead` is
@@ -84,7 +87,8 @@
 {
 public:
   caller_connection(tcp::socket aSocket, const caller_limits& aLimits,
-                    std::shared_ptr<connection_counts> aCounts);
+                    std::shared_ptr<connection_counts> aCounts,
+                    std::shared_ptr<byte_budget> aBudget);
 
   /// Sends a whole answer. `Content-Length` is set here. Returns the failure of the write, if any.
   task<error_code> Answer(outbound_answer& aAnswer);
@@ -112,6 +116,14 @@
 private:
   friend class http_server;
 
+  /// Waits for room for `aBytes` of a request that is being read; then others give way to it.
+  /// Returns false if there is none.
+  task<bool> AwaitRoom(std::size_t aBytes);
+  /// Closes the connection for others that need its memory.
+  void GiveWay(std::size_t aBodyBytes);
+  byte_claim NewClaim() const { return mBudget != nullptr ? byte_claim(mBudget) : byte_claim(); }
+  void ReleaseBuffer();
+
   void Watch();
   void SetGone();
   /// Closes the socket; the first reason stays.
@@ -133,6 +145,8 @@
   watchdog mWatchdog;
   silence_watch mSilenceWatch;
   beast::flat_buffer mBuffer;
+  std::shared_ptr<byte_budget> mBudget; ///< of all callers; null: without a limit
+  byte_claim mClaim; ///< on the memory of the buffer, and of a request until it is read whole
   const caller_limits& mLimits;
   std::optional<time_point> mDeadline; ///< of the request
   std::function<void()> mOnGone;
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -86,12 +86,23 @@
 }
 
 void exchange::Send(std::shared_ptr<const outbound_request> aRequest)
+{
+  Write(std::move(aRequest));
+}
+
+void exchange::Send(std::shared_ptr<const forwarded_request> aRequest)
+{
+  Write(std::move(aRequest));
+}
+
+template<class Request>
+void exchange::Write(std::shared_ptr<const Request> aRequest)
 {
   mIsSent = true;
   mIsHead = aRequest->method() == http::verb::head;
   mSilenceWatch.Start();
   // A failed write also fails the read that is pending, or leaves an answer to be read.
-  const outbound_request& request = *aRequest;
+  const Request& request = *aRequest;
   http::async_write(mSocket, request,
                     [self = shared_from_this(), kept = std::move(aRequest)](
                       error_code aFailure, std::size_t) { self->mWriteFailure = aFailure; });
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
@@ -19,6 +20,9 @@
 /// A request as it is sent: start line, header and body.
 using outbound_request = http::request<http::string_body>;
 
+/// The same, with a body that is kept elsewhere for as long as the request lives.
+using forwarded_request = http::request<http::span_body<const char>>;
+
 /// Largest header of an answer in bytes; engines and services send less than a tenth of it.
 inline constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
 
@@ -52,6 +56,7 @@
 
   /// Starts to write `aRequest`; `ReadHeader` may be called at once.
   void Send(std::shared_ptr<const outbound_request> aRequest);
+  void Send(std::shared_ptr<const forwarded_request> aRequest);
 
   /// Reads the start line and the header of the answer; interim answers (1xx) are skipped. After
   /// `timed_out` the exchange is as before, and the call may be repeated to wait on. Returns
@@ -83,6 +88,8 @@
   void Close();
 
 private:
+  template<class Request>
+  void Write(std::shared_ptr<const Request> aRequest);
   void StartParser();
   /// Waits until `aEnd` for bytes, and takes them into the buffer. Returns `buffer_overflow` when
   /// it already holds `kMaxUnparsedBytes`.
--- a/src/net/framing_test.cpp
+++ b/src/net/framing_test.cpp
@@ -122,7 +122,7 @@
                        .mLimits = &limits,
                        .mHandler = [&seen](std::shared_ptr<caller_connection> aCaller,
                                            std::shared_ptr<inbound_request> aRequest) -> task<> {
-                         seen.mRequests.push_back(*aRequest);
+                         seen.mRequests.push_back(std::move(*aRequest));
                          outbound_answer answer{ http::status::ok, 11 };
                          co_await aCaller->Answer(answer);
                        } });
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -16,6 +16,12 @@
 
 constexpr int kListenBacklog = 1024; ///< connections; a full queue costs a caller seconds
 
+/// Of a connection whose requests are bounded; the kernel doubles it for its own data. It fills a
+/// link of 200 Mbit/s at a round trip of 1 ms.
+constexpr int kReceiveBufferBytes = 1 << 15U;
+
+constexpr std::size_t kFieldBytes = 96; ///< allocated for a field beside its name and value
+
 constexpr duration kAcceptRetryDelay = 20ms; ///< after a failure
 
 /// Whether the bytes were no request, as opposed to a connection that ended in the middle of one.
@@ -25,6 +31,24 @@
          aFailure != http::error::partial_message;
 }
 
+/// How a request that could not be read is refused; nothing if its connection ended.
+std::optional<protocol_refusal> RefusalFor(const error_code& aFailure, message_part aPart)
+{
+  if (aFailure == http::error::end_of_stream) {
+    return std::nullopt;
+  }
+  if (aFailure == http::error::header_limit && aPart == message_part::Header) {
+    return protocol_refusal::HeaderTooLarge;
+  }
+  if (aFailure == http::error::body_limit) {
+    return protocol_refusal::BodyTooLarge;
+  }
+  if (aFailure == asio::error::no_buffer_space) {
+    return protocol_refusal::NoMemory;
+  }
+  return IsMalformed(aFailure) ? std::optional(protocol_refusal::BadRequest) : std::nullopt;
+}
+
 http::status StatusOf(protocol_refusal aRefusal)
 {
   switch (aRefusal) {
@@ -36,10 +60,22 @@
       return http::status::payload_too_large;
     case protocol_refusal::Timeout:
       return http::status::request_timeout;
+    case protocol_refusal::NoMemory:
+      return http::status::service_unavailable;
   }
   return http::status::bad_request;
 }
 
+/// Memory of a header's fields.
+std::size_t BytesOf(const http::fields& aHeader)
+{
+  std::size_t bytes = 0;
+  for (const auto& field : aHeader) {
+    bytes += field.name_string().size() + field.value().size() + kFieldBytes;
+  }
+  return bytes;
+}
+
 outbound_answer ProblemAnswer(http::status aStatus, const std::string& aOutcome)
 {
   outbound_answer answer{ aStatus, 11 };
@@ -88,6 +124,9 @@
   if (!failure) {
     acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
   }
+  if (!failure && mOptions.mBudget != nullptr) {
+    acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), failure);
+  }
   if (!failure) {
     acceptor.bind(mOptions.mAddress, failure);
   }
@@ -217,8 +256,8 @@
 {
   LimitSilence(aSocket, silence_limits{});
   ++mCounts->mAccepted;
-  auto connection =
-    std::make_shared<caller_connection>(std::move(aSocket), *mOptions.mLimits, mCounts);
+  auto connection = std::make_shared<caller_connection>(std::move(aSocket), *mOptions.mLimits,
+                                                        mCounts, mOptions.mBudget);
   Spawn(mAcceptor.get_executor(), "serve", Serve(std::move(connection)));
 }
 
@@ -249,54 +288,52 @@
   }
 }
 
-task<bool> http_server::ServeOne(std::shared_ptr<caller_connection> aConnection)
+task<std::shared_ptr<inbound_request>> http_server::ReadRequest(caller_connection& aConnection)
 {
-  caller_connection& connection = *aConnection;
-  const caller_limits& limits = connection.mLimits;
+  const caller_limits& limits = aConnection.mLimits;
   error_code failure;
-  const bool isIdle = connection.mBuffer.size() == 0;
-  connection.mPhase = isIdle ? connection_phase::Idle : connection_phase::Reading;
+  const bool isIdle = aConnection.mBuffer.size() == 0;
+  aConnection.ReleaseBuffer();
+  aConnection.mPhase = isIdle ? connection_phase::Idle : connection_phase::Reading;
   if (isIdle) {
-    connection.mWatchdog.Arm(limits.mIdleTimeout);
-    co_await connection.mSocket.async_wait(tcp::socket::wait_read,
-                                           asio::redirect_error(asio::use_awaitable, failure));
+    aConnection.mWatchdog.Arm(limits.mIdleTimeout);
+    co_await aConnection.mSocket.async_wait(tcp::socket::wait_read,
+                                            asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
-      connection.RecordFailure(failure);
-      co_return false;
+      aConnection.RecordFailure(failure);
+      co_return nullptr;
     }
-    if (connection.mEnd) {
+    if (aConnection.mEnd) {
       // No answer could be sent any more; a request that is not read may be sent again.
-      co_return false;
+      co_return nullptr;
     }
-    if (connection.mSocket.available(failure) > 0) {
-      connection.mPhase = connection_phase::Reading;
+    if (aConnection.mSocket.available(failure) > 0) {
+      aConnection.mPhase = connection_phase::Reading;
     }
   }
 
   // The parser consumes a body as it arrives, but not an unfinished chunk size line or trailer.
-  connection.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxPipelinedBytes);
+  aConnection.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxPipelinedBytes);
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
+  std::size_t headerBytes = 0;
+  const way_giver givesWay(&aConnection.mClaim, [&] {
+    aConnection.GiveWay(parser.get().body().size());
+    std::string().swap(parser.get().body());
+  });
+  // What is read is held twice, in the buffer and in the message.
+  const room_request awaitRoom = [&](std::size_t aRoom) {
+    return aConnection.AwaitRoom(headerBytes + parser.get().body().size() +
+                                 aConnection.mBuffer.capacity() + 2 * aRoom);
+  };
   const time_point arrived = Now();
-  connection.mWatchdog.Arm(limits.mHeaderTimeout);
-  failure =
-    co_await ReadMessage(connection.mSocket, connection.mBuffer, parser, message_part::Header);
-  if (failure == http::error::end_of_stream || failure == asio::error::operation_aborted) {
-    connection.RecordFailure(failure);
-    co_return false;
-  }
-  if (failure == http::error::header_limit) {
-    co_await Refuse(connection, protocol_refusal::HeaderTooLarge);
-    co_return false;
-  }
+  aConnection.mWatchdog.Arm(limits.mHeaderTimeout);
+  failure = co_await ReadMessage(aConnection.mSocket, aConnection.mBuffer, parser,
+                                 message_part::Header, awaitRoom);
   if (failure) {
-    if (IsMalformed(failure)) {
-      co_await Refuse(connection, protocol_refusal::BadRequest);
-    } else {
-      connection.RecordFailure(failure);
-    }
-    co_return false;
+    co_await EndReading(aConnection, failure, message_part::Header);
+    co_return nullptr;
   }
 
   auto request = std::make_shared<inbound_request>();
@@ -305,46 +342,50 @@
   request->mTarget = std::string(parser.get().target());
   // Copied before the body is read, so that trailers do not become headers.
   request->mHeader = parser.get().base();
-  const bool keepAlive = parser.get().keep_alive();
+  headerBytes = 2 * BytesOf(request->mHeader);
+  aConnection.mKeepAlive = parser.get().keep_alive() && !mDraining;
   if (parser.get().version() != 11 || request->mHeader.count(http::field::host) != 1 ||
       !HasKnownEnd(request->mHeader)) {
-    co_await Refuse(connection, protocol_refusal::BadRequest);
-    co_return false;
+    co_await Refuse(aConnection, protocol_refusal::BadRequest);
+    co_return nullptr;
   }
 
   if (!parser.is_done()) {
     if (parser.content_length() && *parser.content_length() > limits.mMaxBodyBytes) {
-      co_await Refuse(connection, protocol_refusal::BodyTooLarge);
-      co_return false;
+      co_await Refuse(aConnection, protocol_refusal::BodyTooLarge);
+      co_return nullptr;
     }
-    connection.mWatchdog.Arm(limits.mBodyTimeout);
+    aConnection.mWatchdog.Arm(limits.mBodyTimeout);
     if (beast::iequals(request->mHeader[http::field::expect], "100-continue")) {
       static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      co_await asio::async_write(connection.mSocket,
+      co_await asio::async_write(aConnection.mSocket,
                                  asio::const_buffer(kContinue.data(), kContinue.size()),
                                  asio::redirect_error(asio::use_awaitable, failure));
     }
     if (!failure) {
-      failure =
-        co_await ReadMessage(connection.mSocket, connection.mBuffer, parser, message_part::Whole);
-    }
-    if (failure == http::error::body_limit) {
-      co_await Refuse(connection, protocol_refusal::BodyTooLarge);
-      co_return false;
+      failure = co_await ReadMessage(aConnection.mSocket, aConnection.mBuffer, parser,
+                                     message_part::Whole, awaitRoom);
     }
     if (failure) {
-      if (IsMalformed(failure)) {
-        co_await Refuse(connection, protocol_refusal::BadRequest);
-      } else {
-        connection.RecordFailure(failure);
-      }
-      co_return false;
+      co_await EndReading(aConnection, failure, message_part::Whole);
+      co_return nullptr;
     }
   }
-  connection.mWatchdog.Disarm();
+  aConnection.mWatchdog.Disarm();
   request->mBody = std::move(parser.get().body());
+  co_return request;
+}
 
-  connection.mKeepAlive = keepAlive && !mDraining;
+task<bool> http_server::ServeOne(std::shared_ptr<caller_connection> aConnection)
+{
+  caller_connection& connection = *aConnection;
+  auto request = co_await ReadRequest(connection);
+  if (request == nullptr) {
+    co_return false;
+  }
+  request->mClaim = std::move(connection.mClaim);
+  (void)request->mClaim.TryResize(BytesOf(request->mHeader) + request->mBody.size());
+  connection.ReleaseBuffer();
   connection.mIsHead = request->mMethod == "HEAD";
   connection.mHasRequest = true;
   connection.mPhase = connection_phase::Handling;
@@ -368,6 +409,16 @@
   co_return connection.mKeepAlive&& connection.mSocket.is_open();
 }
 
+task<> http_server::EndReading(caller_connection& aConnection, const error_code& aFailure,
+                               message_part aPart)
+{
+  if (const auto refusal = RefusalFor(aFailure, aPart); refusal && aConnection.mSocket.is_open()) {
+    co_await Refuse(aConnection, *refusal);
+  } else {
+    aConnection.RecordFailure(aFailure);
+  }
+}
+
 task<> http_server::Refuse(caller_connection& aConnection, protocol_refusal aRefusal)
 {
   if (mOptions.mOnRefusal) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -3,6 +3,7 @@
 #include "net/bind_retry.h"
 #include "net/caller_connection.h"
 #include "net/loop.h"
+#include "net/message_reader.h"
 
 #include <functional>
 #include <memory>
@@ -22,6 +23,7 @@
   HeaderTooLarge,
   BodyTooLarge,
   Timeout,
+  NoMemory,
 };
 
 /// Options of a server.
@@ -34,6 +36,8 @@
   bool mBindsLater = false;
   /// Told of each request that the server refused by itself; may be empty.
   std::function<void(protocol_refusal)> mOnRefusal;
+  /// Bounds the memory for requests of all connections; null: it is not bounded.
+  std::shared_ptr<byte_budget> mBudget;
 };
 
 /// An HTTP/1.1 server on the event loop: keep-alive, pipelining, bodies with a length or chunked.
@@ -82,6 +86,10 @@
   task<> Serve(std::shared_ptr<caller_connection> aConnection);
   task<> ServeAll(std::shared_ptr<caller_connection> aConnection);
   task<bool> ServeOne(std::shared_ptr<caller_connection> aConnection);
+  /// Reads a request. Returns null if the connection ended, or the request was refused.
+  task<std::shared_ptr<inbound_request>> ReadRequest(caller_connection& aConnection);
+  /// Refuses a request that could not be read, unless its connection ended.
+  task<> EndReading(caller_connection& aConnection, const error_code& aFailure, message_part aPart);
   task<> Refuse(caller_connection& aConnection, protocol_refusal aRefusal);
 
   tcp::acceptor mAcceptor;
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
+#include <functional>
 #include <stdexcept>
 
 namespace tamarackweir::net {
@@ -29,14 +30,18 @@
   Whole,
 };
 
+/// Awaited before at most so many bytes are read; false: there is no memory for them.
+using room_request = std::function<task<bool>(std::size_t)>;
+
 /// Reads a message from a socket, with the errors of `http::async_read`. Unlike there, an exception
-/// of the parser can't leave a callback, which would destroy the waiting coroutine.
+/// of the parser can't leave a callback, which would destroy the waiting coroutine. Returns
+/// `no_buffer_space` without memory for the next bytes.
 template<class Parser>
 task<error_code> ReadMessage(tcp::socket& aSocket, boost::beast::flat_buffer& aBuffer,
-                             Parser& aParser, message_part aPart)
+                             Parser& aParser, message_part aPart, const room_request& aAwaitRoom)
 {
   namespace http = boost::beast::http;
-  constexpr std::size_t kMaxReadBytes = 1U << 16U;
+  constexpr std::size_t kMaxReadBytes = 1U << 14U;
   const bool isWhole = aPart == message_part::Whole;
   aParser.eager(isWhole);
   while (isWhole ? !aParser.is_done() : !aParser.is_header_done()) {
@@ -55,6 +60,9 @@
     if (room == 0) {
       co_return http::error::buffer_overflow;
     }
+    if (!co_await aAwaitRoom(room)) {
+      co_return boost::asio::error::no_buffer_space;
+    }
     failure = {};
     const std::size_t size = co_await aSocket.async_read_some(
       aBuffer.prepare(room), asio::redirect_error(asio::use_awaitable, failure));
