Bound the memory of tamarackweird for callers' bodies

Change: bodies are read into held_body, whose claims share one byte_budget of caller_memory_mb (default 64) behind a mutex. The body that is the costliest by size and time is dropped, the rest of it is discarded, and its caller gets 503 not_run. Headers are not bounded yet.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -124,7 +124,42 @@
     });
 }
 
-void HandleChat(const runtime& aRuntime, const httplib::Request& aRequest,
+/// Handles a request whose body was read.
+using body_handler = void (*)(const runtime&, const httplib::Request&, const std::string& aBody,
+                              httplib::Response&);
+
+/// Reads the body within the memory for all, and handles the request. A body that is dropped is
+/// read to its end, so that the connection is at the next request.
+httplib::Server::HandlerWithContentReader WithBody(const runtime& aRuntime, body_memory& aMemory,
+                                                   body_handler aHandler)
+{
+  return
+    [&aRuntime, &aMemory, aHandler](const httplib::Request& aRequest, httplib::Response& aResponse,
+                                    const httplib::ContentReader& aReader) {
+      held_body body(aMemory);
+      const auto append = [&body](const char* aBytes, std::size_t aSize) {
+        body.Append(aBytes, aSize);
+        return true;
+      };
+      // The parts of a form are no body; the library calls other functions for them.
+      const bool isRead = aRequest.is_multipart_form_data()
+                            ? aReader([](const httplib::MultipartFormData&) { return true; },
+                                      [](const char*, std::size_t) { return true; })
+                            : aReader(append);
+      const bool isHeld = body.Finish();
+      if (!isRead) {
+        return; // The library has set the status.
+      }
+      if (isHeld) {
+        aHandler(aRuntime, aRequest, body.Text(), aResponse);
+      } else {
+        Answer(aResponse, NotRun(503, "memory-short", "The memory for requests is short",
+                                 "send a smaller request, or send it to another instance"));
+      }
+    };
+}
+
+void HandleChat(const runtime& aRuntime, const httplib::Request& aRequest, const std::string& aBody,
                 httplib::Response& aResponse)
 {
   const auto account = Authenticate(aRuntime, aRequest, aResponse);
@@ -136,7 +171,7 @@
     const settings_view view = aRuntime.mPublished.Get();
     const settings::values values = settings::AccountValues(*view.mTree, *account);
     input = { .mAccount = *account,
-              .mRequest = ParseChatRequest(aRequest.body, values.mMaxRequestBytes.Value()),
+              .mRequest = ParseChatRequest(aBody, values.mMaxRequestBytes.Value()),
               .mIdempotencyKey = aRequest.get_header_value("Idempotency-Key"),
               .mSession = aRequest.get_header_value("Tamarackweir-Session"),
               .mTraceParent = aRequest.get_header_value("traceparent"),
@@ -188,7 +223,7 @@
 }
 
 void HandleService(const runtime& aRuntime, const httplib::Request& aRequest,
-                   httplib::Response& aResponse)
+                   const std::string& aBody, httplib::Response& aResponse)
 {
   const auto account = Authenticate(aRuntime, aRequest, aResponse);
   if (!account) {
@@ -198,7 +233,7 @@
     aRuntime,
     { .mAccount = *account,
       .mWork = { service_id(aRequest.matches[1]), settings::call_id(aRequest.matches[2]) },
-      .mBody = aRequest.body,
+      .mBody = aBody,
       .mIdempotencyKey = aRequest.get_header_value("Idempotency-Key"),
       .mTraceParent = aRequest.get_header_value("traceparent") });
   if (const auto* refusal = std::get_if<problem>(&result)) {
@@ -216,7 +251,8 @@
 } // namespace
 
 caller_server::caller_server(const runtime& aRuntime)
-  : mServer(std::make_unique<httplib::Server>())
+  : mBodies(static_cast<std::size_t>(aRuntime.mSettings.mCallerMemoryMb) << 20U)
+  , mServer(std::make_unique<httplib::Server>())
 {
   mServer->new_task_queue = [threads = aRuntime.mSettings.mCallerThreads] {
     return new httplib::ThreadPool(static_cast<std::size_t>(threads));
@@ -226,18 +262,12 @@
   mServer->set_write_timeout(kCallerTimeoutSeconds);
   mServer->set_keep_alive_max_count(1000);
   mServer->set_tcp_nodelay(true);
-  mServer->Post("/v1/chat/completions",
-                [&aRuntime](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                  HandleChat(aRuntime, aRequest, aResponse);
-                });
+  mServer->Post("/v1/chat/completions", WithBody(aRuntime, mBodies, HandleChat));
   mServer->Get("/v1/models",
                [&aRuntime](const httplib::Request& aRequest, httplib::Response& aResponse) {
                  HandleModels(aRuntime, aRequest, aResponse);
                });
-  mServer->Post(R"(/v1/services/([^/]+)/([^/]+))",
-                [&aRuntime](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                  HandleService(aRuntime, aRequest, aResponse);
-                });
+  mServer->Post(R"(/v1/services/([^/]+)/([^/]+))", WithBody(aRuntime, mBodies, HandleService));
   mServer->set_error_handler([](const httplib::Request&, httplib::Response& aResponse) {
     if (aResponse.body.empty()) {
       Answer(aResponse, NotRun(aResponse.status, "http", "The request can't be served",
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/body_memory.h"
 #include "entry/runtime.h"
 
 #include <memory>
@@ -24,6 +25,7 @@
   caller_server& operator=(const caller_server&) = delete;
 
 private:
+  body_memory mBodies;
   std::unique_ptr<httplib::Server> mServer;
   std::thread mThread;
 };
--- a/src/entry/instance_settings.cpp
+++ b/src/entry/instance_settings.cpp
@@ -127,6 +127,13 @@
       reader.Fault("caller_threads", "is " + threads->dump(), "write a number from 8 to 4096");
     }
   }
+  if (const json* memory = reader.Get("caller_memory_mb", false)) {
+    if (memory->is_number_integer() && *memory >= 8 && *memory <= 65536) {
+      settings.mCallerMemoryMb = memory->get<int>();
+    } else {
+      reader.Fault("caller_memory_mb", "is " + memory->dump(), "write a number from 8 to 65536");
+    }
+  }
   if (const json* log = reader.Get("log", false)) {
     ParseLog(*log, result);
   }
--- a/src/entry/instance_settings.h
+++ b/src/entry/instance_settings.h
@@ -27,6 +27,7 @@
   std::string mSessionKeysFile; ///< JSON; see `sessions::ParseKeys`
   std::string mPeerKeyFile;     ///< the secret that authenticates messages between instances
   int mCallerThreads = 512;     ///< concurrent requests that the instance can hold
+  int mCallerMemoryMb = 64;     ///< for the bodies of all callers
   log_options mLog;
 };
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -13,6 +13,7 @@
 #include <easylogging++.h>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 #include <sstream>
 
@@ -24,6 +25,7 @@
 using namespace tamarackweir::entry;
 
 constexpr std::size_t kSpansKept = 20000;
+constexpr int kLargeBlockBytes = 1 << 17U;
 /// Running streams and unsettled bills get this long on a graceful shutdown.
 constexpr duration kDrainTimeout = 120s;
 
@@ -229,6 +231,9 @@
       std::cout << file << ": the instance settings are valid\n";
       return EXIT_SUCCESS;
     }
+    // The memory of large bodies returns to the system when it is released. By default the first
+    // release of such a block lets the allocator keep the following ones, for each thread.
+    mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
     ConfigureLog(settings.mLog);
     return Run(settings);
   } catch (const error& failure) {
