Reject invalid loads in a peer's results message

A negative count would be read as a huge one, and as merged counts never decrease it would stand for a load that nobody has judged. Such a message is refused as a malformed one is.

--- a/src/rollout/results_message.cpp
+++ b/src/rollout/results_message.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace tamarackweir::rollout {
@@ -47,7 +48,14 @@
     }
     // Instances of an earlier release do not send loads.
     if (message.contains("loads")) {
-      report.mLoads = message.at("loads").get<load_counts>();
+      const json& loads = message.at("loads");
+      if (!std::all_of(loads.begin(), loads.end(),
+                       [](const json& aCount) { return aCount.is_number_unsigned(); }) ||
+          loads.size() != report.mLoads.size()) {
+        throw error(error_kind::InvalidInput, "results message of a peer has invalid loads",
+                    "check that all instances run the same release");
+      }
+      report.mLoads = loads.get<load_counts>();
     }
     return report;
   } catch (const json::exception& failure) {
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -461,6 +461,10 @@
   CHECK_THROWS_AS(
     DecodeReport(R"({"service":"llm","order":5,"instance":"a/1","results":[],"loads":[1]})"),
     error);
+  CHECK_THROWS_AS(
+    DecodeReport(
+      R"({"service":"llm","order":5,"instance":"a/1","results":[],"loads":[0,0,0,0,0,0,0,0,0,0,-1]})"),
+    error);
   CHECK_THROWS_AS(DecodeReport("{}"), error);
   CHECK_THROWS_AS(DecodeReport("["), error);
 }
