--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "gateway/crash_reports.h"
+#include "gateway/speed_reports.h"
 #include "net/bind_retry.h"
 #include "observe/event_log.h"
 #include "quarantine/crash_message.h"
@@ -14,7 +15,7 @@
 constexpr duration kReportInterval = 200ms;
 /// Above this number of instances reports become less frequent, so that aggregators keep up.
 constexpr std::size_t kInstancesAtFullRate = 80;
-/// Load reports between two crash messages that include older quarantines.
+/// Load reports between two messages of speeds, and of crashes that include older quarantines.
 constexpr std::size_t kReminderRounds = 5;
 constexpr std::size_t kMaxDatagramBytes = 1U << 14U; ///< totals of a thousand servers
 
@@ -77,7 +78,9 @@
                                     .mLoads = placement::OwnLoads(mState.mFleet) };
     ++mRounds;
     bool isAggregator = isFullMesh;
-    const auto crashes = EncodedCrashes(mRounds % kReminderRounds == 0);
+    const bool isReminder = mRounds % kReminderRounds == 0;
+    const auto crashes = EncodedCrashes(isReminder);
+    placement::speed_message speeds{ .mInstance = report.mInstance, .mSpeeds = OwnSpeeds(mState) };
     for (std::size_t i = 0; i < receivers.size(); ++i) {
       if (receivers[i] == mState.mSelf.mId.Value()) {
         isAggregator = true;
@@ -89,11 +92,16 @@
         if (crashes) {
           Send(*crashes, peer->second);
         }
+        if (isReminder) {
+          speeds.mAsksForPooled = !isFullMesh && mRounds / kReminderRounds % receivers.size() == i;
+          Send(placement::Encode(speeds), peer->second);
+        }
       }
     }
     const time_point now = net::Now();
     quarantine::RemoveExpired(mState.mCrashes, now);
     if (isAggregator) {
+      UsePooledSpeeds(mState, now);
       placement::ApplyTotals(mState.mFleet, placement::Totals(mBoard, "", now), now);
       // Other instances do not receive the answers that clear a part.
       QuarantineWorstSuspect(mState, now);
@@ -133,6 +141,10 @@
         "peer");
       return;
     }
+    if (placement::IsSpeedMessage(aBytes)) {
+      HandleSpeeds(aBytes, aSender);
+      return;
+    }
     placement::load_message message = placement::DecodeLoads(aBytes);
     if (message.mIsTotals) {
       placement::ApplyTotals(mState.mFleet, message.mLoads, now);
@@ -155,6 +167,16 @@
   }
 }
 
+void load_exchange::HandleSpeeds(std::string_view aBytes, const datagram_endpoint& aSender)
+{
+  if (ApplySpeeds(mState, placement::DecodeSpeeds(aBytes), net::Now())) {
+    Send(placement::Encode({ .mInstance = mState.mSelf.mId.Value(),
+                             .mIsPooled = true,
+                             .mSpeeds = mState.mSpeedBoard.mPooled.mSpeeds }),
+         aSender);
+  }
+}
+
 std::optional<std::string> load_exchange::EncodedCrashes(bool aIsReminder) const
 {
   const time_point now = net::Now();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -47,6 +47,8 @@
   net::task<> SendReports();
   net::task<> ReceiveDatagrams();
   void HandleDatagram(std::string_view aBytes, const datagram_endpoint& aSender);
+  /// Handles estimates of engine speeds by another instance.
+  void HandleSpeeds(std::string_view aBytes, const datagram_endpoint& aSender);
   void Send(const std::string& aBytes, const datagram_endpoint& aTo);
   /// The encoded crash message; absent if it would be empty.
   std::optional<std::string> EncodedCrashes(bool aIsReminder) const;
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/server_choice.h"
 
 #include "base/digest.h"
+#include "net/loop.h"
 
 #include <algorithm>
 
@@ -178,7 +179,12 @@
 
 placement::prefill_time PrefillTimeOf(const gateway_state& aState, const call& aCall)
 {
-  const auto speed = aState.mEngineSpeeds.find({ aCall.mService, ModelOf(aCall) });
+  const model_id model = ModelOf(aCall);
+  if (const auto pooled = placement::PooledSpeed(
+        aState.mSpeedBoard, placement::SpeedKey(aCall.mService, model), net::Now())) {
+    return pooled->mTime;
+  }
+  const auto speed = aState.mEngineSpeeds.find({ aCall.mService, model });
   return placement::PrefillTimeOf(speed == aState.mEngineSpeeds.end() ? placement::engine_speed{}
                                                                       : speed->second);
 }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -9,6 +9,7 @@
 #include "observe/metrics.h"
 #include "overload/retry.h"
 #include "placement/choose.h"
+#include "placement/speed_board.h"
 #include "quarantine/crash_board.h"
 #include "rollout/shift.h"
 #include "routing/route_table.h"
@@ -101,6 +102,7 @@
   bool mKnowsInstances = false; ///< the list of instances was read, here or at a peer
   std::unordered_map<std::string, latency_estimate> mLatencies; ///< by route and model
   std::map<std::pair<service_id, model_id>, placement::engine_speed> mEngineSpeeds;
+  placement::speed_board mSpeedBoard; ///< estimates of all instances
   /// Of the old version: time between a stream's events, by service and model; time of a plain
   /// answer, by route.
   std::unordered_map<std::string, quantile_estimate> mPaces;
