--- a/src/placement/speed_board.h
+++ b/src/placement/speed_board.h
@@ -67,7 +67,7 @@
 std::optional<speed_estimate> PooledSpeed(const speed_board& aBoard, std::uint64_t aKey,
                                           time_point aNow);
 
-/// Encodes as MessagePack after a mark that tells it from other messages; at most 36 bytes per key.
+/// Encodes as MessagePack after a mark that tells it from other messages; at most 37 bytes per key.
 std::string Encode(const speed_message& aMessage);
 
 /// Whether the bytes are a speed message.
