--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "gateway/crash_reports.h"
 #include "gateway/server_probe.h"
+#include "gateway/speed_reports.h"
 #include "net/bind_retry.h"
 #include "observe/event_log.h"
 #include "quarantine/crash_message.h"
@@ -15,7 +16,7 @@
 constexpr duration kReportInterval = 200ms;
 /// Above this number of instances reports become less frequent, so that aggregators keep up.
 constexpr std::size_t kInstancesAtFullRate = 80;
-/// Load reports between two crash messages that include older quarantines.
+/// Load reports between two messages of speeds, and of crashes that include older quarantines.
 constexpr std::size_t kReminderRounds = 5;
 /// An aggregator answers many instances with the same pooled observations. Pooling takes 1.8 ms of
 /// CPU time at 300 instances that each report 64 servers.
@@ -97,7 +98,9 @@
                                     .mSeen = backends::OwnObservations(mState.mFleet, net::Now()) };
     ++mRounds;
     bool isAggregator = isFullMesh;
-    const auto crashes = EncodedCrashes(mRounds % kReminderRounds == 0);
+    const bool isReminder = mRounds % kReminderRounds == 0;
+    const auto crashes = EncodedCrashes(isReminder);
+    placement::speed_message speeds{ .mInstance = report.mInstance, .mSpeeds = OwnSpeeds(mState) };
     for (std::size_t i = 0; i < receivers.size(); ++i) {
       if (receivers[i] == mState.mSelf.mId.Value()) {
         isAggregator = true;
@@ -109,11 +112,16 @@
         if (crashes) {
           Send(*crashes, peer->second);
         }
+        if (isReminder) {
+          speeds.mAsksForPooled = !isFullMesh && mRounds / kReminderRounds % receivers.size() == i;
+          Send(placement::Encode(speeds), peer->second);
+        }
       }
     }
     const time_point now = net::Now();
     quarantine::RemoveExpired(mState.mCrashes, now);
     if (isAggregator) {
+      UsePooledSpeeds(mState, now);
       OnTotals(placement::Totals(mBoard, "", now), PooledObservations(now), now);
       // Other instances do not receive the answers that clear a part.
       QuarantineWorstSuspect(mState, now);
@@ -153,6 +161,10 @@
         "peer");
       return;
     }
+    if (placement::IsSpeedMessage(aBytes)) {
+      HandleSpeeds(aBytes, aSender);
+      return;
+    }
     placement::load_message message = placement::DecodeLoads(aBytes, now);
     if (message.mSkipped > 0) {
       observe::event_line("load_entries_skipped")
@@ -201,6 +213,16 @@
   return mPooled;
 }
 
+void load_exchange::HandleSpeeds(std::string_view aBytes, const datagram_endpoint& aSender)
+{
+  if (ApplySpeeds(mState, placement::DecodeSpeeds(aBytes), net::Now())) {
+    Send(placement::Encode({ .mInstance = mState.mSelf.mId.Value(),
+                             .mIsPooled = true,
+                             .mSpeeds = mState.mSpeedBoard.mPooled.mSpeeds }),
+         aSender);
+  }
+}
+
 std::optional<std::string> load_exchange::EncodedCrashes(bool aIsReminder) const
 {
   const time_point now = net::Now();
