--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -49,8 +49,9 @@
 /// Weights of the choice.
 struct choice_options
 {
-  /// Weight of the request's own prefill against the server's queue: at an engine that is busy for
-  /// 0.9 of the time, each ms of added work delays later requests by 1 / (1 - 0.9) ms in total.
+  /// Weight of the request's own prefill against the server's queue. Chosen by simulation among 5,
+  /// 10, 20 and 40 (docs/design/even-load.md); it equals the delay of others by each ms of added
+  /// work, 1 / (1 - 0.9), at an engine that is busy for 0.9 of the time.
   double mPrefillWeight = 10;
   /// While the wait at a server exceeds the prefill of a shared part, and the servers' mean wait by
   /// this factor, the next server holds the part too.
