Load canary servers with twice the load after success

A canary server now carries at least twice the load after success, which also leaves the canary its whole share on services of up to some 40 new servers.

--- a/src/rollout/canary_servers.cpp
+++ b/src/rollout/canary_servers.cpp
@@ -40,15 +40,17 @@
 
 std::size_t CanaryServerCount(double aShare, std::size_t aServers)
 {
-  const double servers = std::floor(aShare * static_cast<double>(aServers));
+  const double servers = std::floor(aShare * static_cast<double>(aServers) / kCanaryHeadroom);
   return std::max<std::size_t>(1, static_cast<std::size_t>(servers));
 }
 
 double ShareForWholeServers(double aShare, std::size_t aServers)
 {
   constexpr double kMargin = 1.1; // new sessions reach the canary only one after another
-  const double whole = std::floor(aShare * static_cast<double>(aServers));
-  return whole < 1 ? aShare : std::min(aShare, kMargin * whole / static_cast<double>(aServers));
+  const double wholeServers = std::floor(aShare * static_cast<double>(aServers) / kCanaryHeadroom);
+  return wholeServers < 1 ? aShare
+                          : std::min(aShare, kMargin * kCanaryHeadroom * wholeServers /
+                                               static_cast<double>(aServers));
 }
 
 std::vector<server_id> CanaryServers(const shift& aShift, const shift_options& aOptions,
