Keep the prefill weight, and let a large share load the canary's servers less

In the ramp a fixed factor of two would put all requests on half of the servers, which have four times the usual load where the new version has half as many; the factor now falls to one with the share.

--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -49,14 +49,14 @@
 /// Weights of the choice.
 struct choice_options
 {
-  /// Weight of the request's own prefill against the server's queue. Chosen by simulation among 5,
-  /// 10, 20 and 40 (docs/design/even-load.md); it equals the delay of others by each ms of added
-  /// work, 1 / (1 - 0.9), at an engine that is busy for 0.9 of the time.
+  /// Weight of the request's own prefill against the server's queue. Processing a cached part again
+  /// delays all later requests, so the queue mostly decides between servers with equal prefill.
+  /// Lower weights serve fewer requests in time on busy engines, see docs/design/even-load.md.
   double mPrefillWeight = 40;
   /// While the wait at a server exceeds the prefill of a shared part, and the servers' mean wait by
   /// this factor, the next server holds the part too.
   double mLongWaitFactor = 2;
-  std::size_t mMaxHolders = 3;      ///< servers that may hold a part in high demand, at most 16
+  std::size_t mMaxHolders = 16;     ///< servers that may hold a part in high demand, at most 16
   double mFailurePenaltyMs = 3000;  ///< penalty at a failure share of 1
   double mToleratedFailures = 0.2;  ///< failure share without a penalty
   double mUnreachedPenaltyMs = 500; ///< per failed connect in the data centre
--- a/src/rollout/canary_servers.cpp
+++ b/src/rollout/canary_servers.cpp
@@ -40,17 +40,17 @@
 
 std::size_t CanaryServerCount(double aShare, std::size_t aServers)
 {
-  const double servers = std::floor(aShare * static_cast<double>(aServers) / kCanaryHeadroom);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(servers));
+  const double servers = aShare * static_cast<double>(aServers) / CanaryLoad(aShare);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(servers)));
 }
 
 double ShareForWholeServers(double aShare, std::size_t aServers)
 {
   constexpr double kMargin = 1.1; // new sessions reach the canary only one after another
-  const double wholeServers = std::floor(aShare * static_cast<double>(aServers) / kCanaryHeadroom);
-  return wholeServers < 1 ? aShare
-                          : std::min(aShare, kMargin * kCanaryHeadroom * wholeServers /
-                                               static_cast<double>(aServers));
+  const auto servers = static_cast<double>(aServers);
+  const double whole = std::floor(aShare * servers / CanaryLoad(aShare));
+  // The share at which `whole` servers carry the load of `CanaryLoad`.
+  return whole < 1 ? aShare : std::min(aShare, kMargin * 2 * whole / (servers + whole));
 }
 
 std::vector<server_id> CanaryServers(const shift& aShift, const shift_options& aOptions,
--- a/src/rollout/canary_servers.h
+++ b/src/rollout/canary_servers.h
@@ -18,12 +18,17 @@
 /// version is faulty. Long enough for the requests in flight to reach their usual number.
 inline constexpr duration kCanaryTurn = 3s;
 
-/// Load of a canary server relative to the mean load after success. When a data centre is lost or
-/// traffic peaks after the old version's servers have stopped, the new ones carry more than that.
-inline constexpr double kCanaryHeadroom = 2;
+/// Load of each server that the new version's share of the requests goes to, relative to the mean
+/// load after success. When a data centre is lost or traffic peaks after the old version's servers
+/// have stopped, the new ones carry more than the mean, so a small share is judged at nearly twice
+/// of it. A large share would overload the servers that it is concentrated on.
+inline double CanaryLoad(double aShare)
+{
+  return 2 - aShare;
+}
 
 /// The number of servers among which a share of the requests is divided, so that each carries at
-/// least `kCanaryHeadroom` times the load that it has once the new version serves all requests.
+/// least `CanaryLoad` times the load that it has once the new version serves all requests.
 std::size_t CanaryServerCount(double aShare, std::size_t aServers);
 
 /// The largest share up to `aShare` at which each server in use carries its future load and little
