Record the usual loads of a roll-out from the canary's start on

shift_written gave a future load of 477 requests per server where about 6 was true: right after the order an instance knows one of the new version's servers, so all requests in flight seem to come to it, and the smoothed value kept that for seconds (51 and 32 at roll-backs). Operators read the judged load from it. No decision used the value.

The new test failed before (500 and 451.2 instead of 0 and 12).

--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -388,7 +388,9 @@
 void RecordUsualLoads(shift& aShift, const shift_options& aOptions, const server_loads& aLoads,
                       time_point aNow)
 {
-  if (!IsCanaryShare(aShift, aOptions, aNow)) {
+  // Before the canary starts, instances know only some of the new version's servers.
+  if (!IsCanaryShare(aShift, aOptions, aNow) ||
+      ElapsedFraction(aShift, aNow) < ScheduleOf(aShift, aOptions).mCanaryStart) {
     return;
   }
   constexpr double kWeight = 0.1; // about the last ten values
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -468,3 +468,14 @@
   CHECK_THROWS_AS(DecodeReport("{}"), error);
   CHECK_THROWS_AS(DecodeReport("["), error);
 }
+
+// Guards against loads from before all servers of the new version are listed: with one of them, the
+// load after success seems to be that of the whole service.
+TEST_CASE("usual loads are recorded from the start of the canary on")
+{
+  shift running = MakeShift();
+  RecordUsualLoads(running, {}, { .mOld = 6, .mFuture = 500 }, kStart + 1s);
+  CHECK(running.mUsualLoads.mFuture == 0);
+  RecordUsualLoads(running, {}, { .mOld = 6, .mFuture = 12 }, kStart + 3s);
+  CHECK(running.mUsualLoads.mFuture == 12);
+}
