Let the canary ask for suspect servers as placement does

IsUsableForCanary repeated the check of the pooled view and left out that an instance's own fresh proof of liveness wins over it.

--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/server_choice.h"
 
+#include "backends/evidence.h"
 #include "base/digest.h"
 #include "net/loop.h"
 #include "rollout/canary_servers.h"
@@ -90,12 +91,10 @@
 bool IsUsableForCanary(const gateway_state& aState, const call& aCall, const rollout::shift& aShift,
                        const backends::backend_server& aServer, time_point aNow)
 {
-  const bool isUnreachable = aNow < aServer.mSuspectUntil ||
-                             (aServer.mPooled.mIsUnreachable && aNow < aServer.mPooled.mExpiresAt);
   const bool wasTried = std::find(aCall.mTriedServers.begin(), aCall.mTriedServers.end(),
                                   aServer.mAnnounced.mId) != aCall.mTriedServers.end();
   return !aServer.mAnnounced.mIsLeaving && !aServer.mSaysItLeaves && !aServer.mMissingSince &&
-         !isUnreachable && !wasTried &&
+         !backends::IsSuspect(aServer, aNow) && !wasTried &&
          backends::FailureShare(aServer, aNow) <= aState.mOptions.mPlacement.mToleratedFailures &&
          !backends::IsCold(aServer, aNow) && backends::TakesRequests(aServer, aNow) &&
          IsEligible(aState, aCall, &aShift, rollout::version_side::New, aServer, aNow);
--- a/src/rollout/canary_servers_test.cpp
+++ b/src/rollout/canary_servers_test.cpp
@@ -75,7 +75,7 @@
   CHECK(CanaryServers(running, {}, servers, kStart + 4s).empty());
 }
 
-// Guards against a fault that can't be told from that of the only server in use.
+// Guards against a fault of the version that looks like one of the only server in use.
 TEST_CASE("a canary on one server uses several ones before the ramp, also in a short roll-out")
 {
   for (const duration length : { 11s, 20s, 600s }) {
