--- a/src/entry/failures/support.sh
+++ b/src/entry/failures/support.sh
@@ -23,9 +23,14 @@
 }
 trap test_cleanup EXIT
 
-# Starts the fleet with the sample settings in force on all instances.
+# Starts the fleet with the sample settings in force on all instances. The jq filter $1 changes the instances' own
+# settings.
 test_begin() {
+  local id
   fleet_write_settings "$dir"
+  for id in k-1 k-2 p-1 p-2; do
+    jq "${1:-.}" "$dir/$id.json" >"$dir/$id.changed" && mv "$dir/$id.changed" "$dir/$id.json"
+  done
   fleet_up "$dir" "$build"
   operator k-1 config apply "$dir/settings.json" --base 0 --wait 4
   fleet_await_ready 7401 7402 7411 7412
