Bound what callers of tamarackweird send outside of bodies

Cause: cpp-httplib 0.11.4 reads lines, headers and bodies to unknown paths into memory without a bound, and limits only the time of each read. No metric or log line shows the bytes held for callers.

Change: the library's server reads from a stream of this project, which counts the bytes and lines of a header (caller_header_kb, 64 KiB) and its time (caller_header_ms, 30 s; 2 s while connections wait and no thread is free), claims the header's memory in the budget of the bodies, and refuses a body for which there is no route. The library's parser stays.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "entry/caller_server.h"
 
 #include "base/error.h"
+#include "entry/bounded_server.h"
 #include "entry/event_channel.h"
 #include "entry/http_support.h"
 #include "entry/pipeline.h"
@@ -22,7 +23,7 @@
 /// afterwards.
 constexpr std::size_t kLargestBody = 64U << 20U;
 /// A caller that sends or takes nothing for this long has gone.
-constexpr time_t kCallerTimeoutSeconds = 30;
+constexpr duration kCallerTimeout = 30s;
 
 /// The client account of a request, or a refusal that has been written to the response.
 std::optional<account_id> Authenticate(const runtime& aRuntime, const httplib::Request& aRequest,
@@ -130,33 +131,34 @@
 
 /// Reads the body within the memory for all, and handles the request. A body that is dropped is
 /// read to its end, so that the connection is at the next request.
-httplib::Server::HandlerWithContentReader WithBody(const runtime& aRuntime, body_memory& aMemory,
+httplib::Server::HandlerWithContentReader WithBody(const runtime& aRuntime, refusal_log& aRefusals,
                                                    body_handler aHandler)
 {
-  return
-    [&aRuntime, &aMemory, aHandler](const httplib::Request& aRequest, httplib::Response& aResponse,
-                                    const httplib::ContentReader& aReader) {
-      held_body body(aMemory);
-      const auto append = [&body](const char* aBytes, std::size_t aSize) {
-        body.Append(aBytes, aSize);
-        return true;
-      };
-      // The parts of a form are no body; the library calls other functions for them.
-      const bool isRead = aRequest.is_multipart_form_data()
-                            ? aReader([](const httplib::MultipartFormData&) { return true; },
-                                      [](const char*, std::size_t) { return true; })
-                            : aReader(append);
-      const bool isHeld = body.Finish();
-      if (!isRead) {
-        return; // The library has set the status.
-      }
-      if (isHeld) {
-        aHandler(aRuntime, aRequest, body.Text(), aResponse);
-      } else {
-        Answer(aResponse, NotRun(503, "memory-short", "The memory for requests is short",
-                                 "send a smaller request, or send it to another instance"));
-      }
+  return [&aRuntime, &aRefusals, aHandler](const httplib::Request& aRequest,
+                                           httplib::Response& aResponse,
+                                           const httplib::ContentReader& aReader) {
+    held_body body(aRuntime.mCallerMemory);
+    const auto append = [&body](const char* aBytes, std::size_t aSize) {
+      body.Append(aBytes, aSize);
+      return true;
     };
+    // The parts of a form are no body; the library calls other functions for them.
+    const bool isRead = aRequest.is_multipart_form_data()
+                          ? aReader([](const httplib::MultipartFormData&) { return true; },
+                                    [](const char*, std::size_t) { return true; })
+                          : aReader(append);
+    const bool isHeld = body.Finish();
+    if (!isRead) {
+      return; // The library has set the status.
+    }
+    if (isHeld) {
+      aHandler(aRuntime, aRequest, body.Text(), aResponse);
+    } else {
+      aRefusals.Record(read_end::NoMemory, body.Arrived());
+      Answer(aResponse, NotRun(503, "memory-short", "The memory for requests is short",
+                               "send a smaller request, or send it to another instance"));
+    }
+  };
 }
 
 void HandleChat(const runtime& aRuntime, const httplib::Request& aRequest, const std::string& aBody,
@@ -248,26 +250,42 @@
   aResponse.set_content(answer.mBody, "application/json");
 }
 
+/// Whether a route takes the body of a request.
+bool IsServed(const httplib::Request& aRequest)
+{
+  return aRequest.method == "POST" &&
+         (aRequest.path == "/v1/chat/completions" || aRequest.path.starts_with("/v1/services/"));
+}
+
+bounded_server_options ServerOptions(const instance_settings& aSettings, refusal_log& aRefusals)
+{
+  bounded_server_options options;
+  options.mThreads = static_cast<std::size_t>(aSettings.mCallerThreads);
+  options.mStream.mLimits.mHeaderBytes = static_cast<std::size_t>(aSettings.mCallerHeaderKb) << 10U;
+  options.mStream.mLimits.mHeaderTime = std::chrono::milliseconds(aSettings.mCallerHeaderMs);
+  options.mStream.mReadTime = kCallerTimeout;
+  options.mStream.mOnRefusal = [&aRefusals](read_end aEnd, std::size_t aBytes) {
+    aRefusals.Record(aEnd, aBytes);
+  };
+  options.mIsServed = IsServed;
+  return options;
+}
+
 } // namespace
 
 caller_server::caller_server(const runtime& aRuntime)
-  : mBodies(static_cast<std::size_t>(aRuntime.mSettings.mCallerMemoryMb) << 20U)
-  , mServer(std::make_unique<httplib::Server>())
+  : mRefusals(aRuntime.mMetrics, aRuntime.mCallerMemory)
+  , mServer(std::make_unique<bounded_server>(aRuntime.mCallerMemory,
+                                             ServerOptions(aRuntime.mSettings, mRefusals)))
 {
-  mServer->new_task_queue = [threads = aRuntime.mSettings.mCallerThreads] {
-    return new httplib::ThreadPool(static_cast<std::size_t>(threads));
-  };
   mServer->set_payload_max_length(kLargestBody);
-  mServer->set_read_timeout(kCallerTimeoutSeconds);
-  mServer->set_write_timeout(kCallerTimeoutSeconds);
-  mServer->set_keep_alive_max_count(1000);
   mServer->set_tcp_nodelay(true);
-  mServer->Post("/v1/chat/completions", WithBody(aRuntime, mBodies, HandleChat));
+  mServer->Post("/v1/chat/completions", WithBody(aRuntime, mRefusals, HandleChat));
   mServer->Get("/v1/models",
                [&aRuntime](const httplib::Request& aRequest, httplib::Response& aResponse) {
                  HandleModels(aRuntime, aRequest, aResponse);
                });
-  mServer->Post(R"(/v1/services/([^/]+)/([^/]+))", WithBody(aRuntime, mBodies, HandleService));
+  mServer->Post(R"(/v1/services/([^/]+)/([^/]+))", WithBody(aRuntime, mRefusals, HandleService));
   mServer->set_error_handler([](const httplib::Request&, httplib::Response& aResponse) {
     if (aResponse.body.empty()) {
       Answer(aResponse, NotRun(aResponse.status, "http", "The request can't be served",
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -1,17 +1,15 @@
 #pragma once
 
-#include "entry/body_memory.h"
+#include "entry/refusal_log.h"
 #include "entry/runtime.h"
 
 #include <memory>
 #include <thread>
 
-namespace httplib {
-class Server;
-}
-
 namespace tamarackweir::entry {
 
+class bounded_server;
+
 /// Serves callers: chat completions, the model list and service calls.
 class caller_server
 {
@@ -25,8 +23,8 @@
   caller_server& operator=(const caller_server&) = delete;
 
 private:
-  body_memory mBodies;
-  std::unique_ptr<httplib::Server> mServer;
+  refusal_log mRefusals;
+  std::unique_ptr<bounded_server> mServer;
   std::thread mThread;
 };
 
--- a/src/entry/cut_requests_test.cpp
+++ b/src/entry/cut_requests_test.cpp
@@ -1,3 +1,4 @@
+#include "entry/bounded_server.h"
 #include "entry/http_support.h"
 
 #include <array>
@@ -40,7 +41,8 @@
 TEST_CASE("a request that is cut at any byte reaches no handler")
 {
   const tcp::endpoint address = FreeAddress();
-  httplib::Server server;
+  body_memory memory(std::size_t{ 1 } << 20U);
+  bounded_server server(memory, {});
   std::atomic<int> runs{ 0 };
   server.Post("/x", [&runs](const httplib::Request&, httplib::Response&) { ++runs; });
   std::thread serving = Serve(server, { .mHost = "127.0.0.1", .mPort = address.port() }, "test");
--- a/src/entry/instance_settings.cpp
+++ b/src/entry/instance_settings.cpp
@@ -60,6 +60,20 @@
     }
   }
 
+  int Number(const std::string& aName, int aLeast, int aMost, int aDefault)
+  {
+    const json* value = Get(aName, false);
+    if (value == nullptr) {
+      return aDefault;
+    }
+    if (!value->is_number_integer() || *value < aLeast || *value > aMost) {
+      Fault(aName, "is " + value->dump(),
+            "write a number from " + std::to_string(aLeast) + " to " + std::to_string(aMost));
+      return aDefault;
+    }
+    return value->get<int>();
+  }
+
   void Fault(const std::string& aName, const std::string& aWhat, const std::string& aRemedy)
   {
     mFaults.push_back({ mPath + "/" + aName, aWhat, aRemedy });
@@ -120,20 +134,11 @@
   settings.mRating = reader.Endpoint("rating", false);
   settings.mSessionKeysFile = reader.Text("session_keys_file", true);
   settings.mPeerKeyFile = reader.Text("peer_key_file", true);
-  if (const json* threads = reader.Get("caller_threads", false)) {
-    if (threads->is_number_integer() && *threads >= 8 && *threads <= 4096) {
-      settings.mCallerThreads = threads->get<int>();
-    } else {
-      reader.Fault("caller_threads", "is " + threads->dump(), "write a number from 8 to 4096");
-    }
-  }
-  if (const json* memory = reader.Get("caller_memory_mb", false)) {
-    if (memory->is_number_integer() && *memory >= 8 && *memory <= 65536) {
-      settings.mCallerMemoryMb = memory->get<int>();
-    } else {
-      reader.Fault("caller_memory_mb", "is " + memory->dump(), "write a number from 8 to 65536");
-    }
-  }
+  settings.mCallerThreads = reader.Number("caller_threads", 8, 4096, settings.mCallerThreads);
+  settings.mCallerMemoryMb = reader.Number("caller_memory_mb", 8, 65536, settings.mCallerMemoryMb);
+  settings.mCallerHeaderKb = reader.Number("caller_header_kb", 16, 1024, settings.mCallerHeaderKb);
+  settings.mCallerHeaderMs =
+    reader.Number("caller_header_ms", 1000, 600000, settings.mCallerHeaderMs);
   if (const json* log = reader.Get("log", false)) {
     ParseLog(*log, result);
   }
--- a/src/entry/instance_settings.h
+++ b/src/entry/instance_settings.h
@@ -27,7 +27,9 @@
   std::string mSessionKeysFile; ///< JSON; see `sessions::ParseKeys`
   std::string mPeerKeyFile;     ///< the secret that authenticates messages between instances
   int mCallerThreads = 512;     ///< concurrent requests that the instance can hold
-  int mCallerMemoryMb = 64;     ///< for the bodies of all callers
+  int mCallerMemoryMb = 64;     ///< for the headers and bodies of all callers
+  int mCallerHeaderKb = 64;     ///< request line and header of one request
+  int mCallerHeaderMs = 30000;  ///< from the first byte of a header to its last
   log_options mLog;
 };
 
--- a/src/entry/instance_settings_test.cpp
+++ b/src/entry/instance_settings_test.cpp
@@ -10,14 +10,14 @@
   const auto result = entry::ParseInstanceSettings(R"({
     // a comment
     "id": "k-1", "owner": "", "callers": "localhost:1", "tabel": "127.0.0.1:1",
-    "caller_threads": 5, "log": {"level": "loud", "format": "xml"} })");
+    "caller_threads": 5, "caller_header_kb": 15, "log": {"level": "loud", "format": "xml"} })");
   std::vector<std::string> paths;
   for (const auto& fault : result.mFaults) {
     paths.push_back(fault.mPath);
     CHECK_MESSAGE(!fault.mRemedy.empty(), "expected a remedy for " << fault.mPath);
   }
-  for (const char* expected : { "/owner", "/callers", "/tabel", "/caller_threads", "/log/level",
-                                "/log/format", "/table" }) {
+  for (const char* expected : { "/owner", "/callers", "/tabel", "/caller_threads",
+                                "/caller_header_kb", "/log/level", "/log/format", "/table" }) {
     CHECK_MESSAGE(std::find(paths.begin(), paths.end(), expected) != paths.end(),
                   "expected a fault at " << expected);
   }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -164,6 +164,7 @@
   span_store spans(kSpansKept, aSettings.mId.Value(),
                    wallMicros - Now(system).time_since_epoch().count());
   id_generator ids(RandomNumber());
+  body_memory callerMemory(static_cast<std::size_t>(aSettings.mCallerMemoryMb) << 20U);
   const std::string peerKey = ReadFile(aSettings.mPeerKeyFile, "peer_key_file");
 
   control_options options{ .mStart = MakeStart(aSettings, epoch, wallMicros),
@@ -186,7 +187,8 @@
                         .mPublished = published,
                         .mMetrics = registry,
                         .mSpans = spans,
-                        .mIds = ids };
+                        .mIds = ids,
+                        .mCallerMemory = callerMemory };
   int status = EXIT_SUCCESS;
   {
     const peer::peer_receiver receiver(aSettings.mPeers, PeerHandler(control, peerKey, registry));
--- a/src/entry/operator_server.cpp
+++ b/src/entry/operator_server.cpp
@@ -230,6 +230,8 @@
     aResponse.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
   });
   aServer.Get("/metrics", [&aRuntime](const httplib::Request&, httplib::Response& aResponse) {
+    body_memory& memory = aRuntime.mCallerMemory;
+    aRuntime.mMetrics.Set("tamarackweir_caller_bytes", static_cast<double>(memory.Used()));
     aResponse.set_content(aRuntime.mMetrics.Render(), "text/plain; version=0.0.4");
   });
 }
--- a/src/entry/runtime.h
+++ b/src/entry/runtime.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/requests.h"
+#include "entry/body_memory.h"
 #include "entry/instance_settings.h"
 #include "entry/trace.h"
 #include "observe/metrics.h"
@@ -63,6 +64,7 @@
   observe::metrics& mMetrics;
   span_store& mSpans;
   id_generator& mIds;
+  body_memory& mCallerMemory;
 };
 
 /// The time of the actor system's clock, which tests pause.
