Refuse long paths at tamarackweird before its routes are matched

Cause: std::regex takes stack for each character of a path, and the pages stay with each of 512 threads.

Change: a path above 256 bytes is refused with 404, its body unread. Services and calls have names of up to 64 characters.

--- a/src/entry/bounded_server.cpp
+++ b/src/entry/bounded_server.cpp
@@ -31,12 +31,6 @@
   caller_load& mLoad;
 };
 
-/// Whether the library reads a body of the request.
-bool TakesBody(const httplib::Request& aRequest)
-{
-  return aRequest.method != "GET" && aRequest.method != "HEAD" && aRequest.method != "OPTIONS";
-}
-
 } // namespace
 
 bounded_server::bounded_server(body_memory& aMemory, bounded_server_options aOptions)
@@ -57,7 +51,7 @@
     const auto onHeader = [&](httplib::Request& aRequest) {
       isHeaderRead = true;
       stream.OnHeaderRead();
-      if (TakesBody(aRequest) && mBounds.mIsServed && !mBounds.mIsServed(aRequest)) {
+      if (mBounds.mIsServed && !mBounds.mIsServed(aRequest)) {
         stream.Refuse(read_end::NotServed);
       }
       if (stream.IsRefused()) {
--- a/src/entry/bounded_server.h
+++ b/src/entry/bounded_server.h
@@ -13,8 +13,8 @@
   std::size_t mThreads = 8;
   std::size_t mRequestsPerConnection = 1000;
   caller_stream_options mStream;
-  /// Whether the server takes a body for this request; others with a body are refused unread, since
-  /// the library would read it into memory. Absent: all are taken.
+  /// Whether the library may match the request against the routes and read its body, which it does
+  /// for any path; others are refused with the body unread. Absent: it may always.
   std::function<bool(const httplib::Request&)> mIsServed;
 };
 
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -250,11 +250,18 @@
   aResponse.set_content(answer.mBody, "application/json");
 }
 
-/// Whether a route takes the body of a request.
+/// Whether a route may take the request. Without a body the library answers on other paths too.
 bool IsServed(const httplib::Request& aRequest)
 {
-  return aRequest.method == "POST" &&
-         (aRequest.path == "/v1/chat/completions" || aRequest.path.starts_with("/v1/services/"));
+  // std::regex takes stack for each character; a service and a call have names of up to 64.
+  constexpr std::size_t kLongestPath = 256;
+  if (aRequest.path.size() > kLongestPath) {
+    return false;
+  }
+  const bool hasBody =
+    aRequest.method != "GET" && aRequest.method != "HEAD" && aRequest.method != "OPTIONS";
+  return !hasBody || (aRequest.method == "POST" && (aRequest.path == "/v1/chat/completions" ||
+                                                    aRequest.path.starts_with("/v1/services/")));
 }
 
 bounded_server_options ServerOptions(const instance_settings& aSettings, refusal_log& aRefusals)
--- a/src/entry/read_limits.h
+++ b/src/entry/read_limits.h
@@ -36,7 +36,7 @@
   HeaderTooSlow,
   LineTooLong,
   NoMemory,
-  NotServed, ///< its path takes no body
+  NotServed, ///< no route takes its path, or a body there
 };
 
 /// The reason in metrics and the log.
