--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -511,6 +511,16 @@
   }
 }
 
+void AssignService(call& aCall)
+{
+  const std::uint64_t hash = StableHash(aCall.mHeader.mSession.value_or(aCall.mHeader.mAttempt));
+  aCall.mPoint = PointOf(hash);
+  aCall.mService = routing::PickService(*aCall.mRoute, PointOf(StableHash("service", hash)));
+  if (aCall.mHeader.mSession) {
+    aCall.mSession = StableHash(aCall.mService.Value(), hash);
+  }
+}
+
 net::task<> HandleCall(gateway_state& aState, std::shared_ptr<net::caller_connection> aCaller,
                        std::shared_ptr<net::inbound_request> aRequest)
 {
@@ -555,13 +565,7 @@
     co_await Refuse(aState, current, stopping);
     co_return;
   }
-  const std::uint64_t hash =
-    StableHash(current.mHeader.mSession.value_or(current.mHeader.mAttempt));
-  current.mPoint = PointOf(hash);
-  current.mService = routing::PickService(*current.mRoute, PointOf(StableHash("service", hash)));
-  if (current.mHeader.mSession) {
-    current.mSession = StableHash(current.mService.Value(), hash);
-  }
+  AssignService(current);
   current.mFingerprint = FingerprintOf(current);
   if (IsQuarantined(aState, current)) {
     // No Retry-After, because a retry would be refused as well.
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -89,6 +89,9 @@
 net::task<> HandleCall(gateway_state& aState, std::shared_ptr<net::caller_connection> aCaller,
                        std::shared_ptr<net::inbound_request> aRequest);
 
+/// Sets the call's service, its point in a shift and its session, from its header and route.
+void AssignService(call& aCall);
+
 /// Ends the attempts of all calls, once `gateway_state::mStopsAt` has come. Each call is answered,
 /// except streams that have begun; these break off.
 void EndOpenCalls(gateway_state& aState);
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -45,17 +45,7 @@
                 std::optional<rollout::version_side> aSide, const backends::backend_server& aServer,
                 time_point aNow)
 {
-  if (aState.mEvacuated.contains(aServer.mAnnounced.mDataCentre) ||
-      !IsInRegion(aState, aCall.mRoute->mRegions, aServer.mAnnounced.mDataCentre) ||
-      (aCall.mAccount != nullptr &&
-       !IsInRegion(aState, aCall.mAccount->mRegions, aServer.mAnnounced.mDataCentre))) {
-    return false;
-  }
-  if (aShift == nullptr || !aSide) {
-    return IsEstablished(aState, aServer, aNow);
-  }
-  const bool isNewVersion = aServer.mAnnounced.mVersion == aShift->mOrder.mNewVersion;
-  return isNewVersion == (*aSide == rollout::version_side::New);
+  return RuleAgainst(aState, aCall, aShift, aSide, aServer, aNow) == server_rule::None;
 }
 
 /// The side that the service's shift assigns to the call, if there is a shift.
@@ -119,6 +109,26 @@
 
 } // namespace
 
+server_rule RuleAgainst(const gateway_state& aState, const call& aCall,
+                        const rollout::shift* aShift, std::optional<rollout::version_side> aSide,
+                        const backends::backend_server& aServer, time_point aNow)
+{
+  if (aState.mEvacuated.contains(aServer.mAnnounced.mDataCentre)) {
+    return server_rule::Evacuated;
+  }
+  if (!IsInRegion(aState, aCall.mRoute->mRegions, aServer.mAnnounced.mDataCentre) ||
+      (aCall.mAccount != nullptr &&
+       !IsInRegion(aState, aCall.mAccount->mRegions, aServer.mAnnounced.mDataCentre))) {
+    return server_rule::Region;
+  }
+  if (aShift == nullptr || !aSide) {
+    return IsEstablished(aState, aServer, aNow) ? server_rule::None : server_rule::Version;
+  }
+  const bool isNewVersion = aServer.mAnnounced.mVersion == aShift->mOrder.mNewVersion;
+  return isNewVersion == (*aSide == rollout::version_side::New) ? server_rule::None
+                                                                : server_rule::Version;
+}
+
 placement::choice ChooseServer(gateway_state& aState, call& aCall, placement::demand& aDemand,
                                const rollout::shift* aShift, time_point aNow)
 {
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -25,6 +25,20 @@
 /// What the call would find at the best server that it has not tried; nothing if there is none.
 std::optional<other_server> FindElsewhere(gateway_state& aState, call& aCall);
 
+/// Why a call may not use a server, whatever the server's state.
+enum class server_rule
+{
+  None,
+  Evacuated, ///< its data centre is
+  Region,    ///< the route's or the account's
+  Version,   ///< the shift assigns another one, or it is too new without a shift
+};
+
+/// \param aSide in the shift; absent without a shift
+server_rule RuleAgainst(const gateway_state& aState, const call& aCall,
+                        const rollout::shift* aShift, std::optional<rollout::version_side> aSide,
+                        const backends::backend_server& aServer, time_point aNow);
+
 /// Chooses the server for an attempt, of the version that the shift assigns to the call. The other
 /// version is used if that one has no server, unless it is known to be bad.
 /// \param aDemand what the attempt needs; its condition on servers is set here
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -228,6 +228,24 @@
            .mBusyShare = static_cast<double>(busy) / static_cast<double>(waits.size()) };
 }
 
+exclusion ExclusionOf(const backends::backend_server& aServer, const demand& aDemand,
+                      time_point aNow)
+{
+  if (aServer.mAnnounced.mIsLeaving || aServer.mSaysItLeaves) {
+    return exclusion::Leaving;
+  }
+  if (!aDemand.mIsAllowed(aServer)) {
+    return exclusion::NotAllowed;
+  }
+  if (!backends::TakesRequests(aServer, aNow)) {
+    return exclusion::Closed;
+  }
+  const bool wasTried = aDemand.mTriedServers != nullptr &&
+                        std::find(aDemand.mTriedServers->begin(), aDemand.mTriedServers->end(),
+                                  aServer.mAnnounced.mId) != aDemand.mTriedServers->end();
+  return wasTried ? exclusion::Tried : exclusion::None;
+}
+
 choice Choose(const backends::fleet& aFleet, const demand& aDemand, const prefix_caches& aCaches,
               const choice_options& aOptions, std::mt19937_64& aRandom, time_point aNow)
 {
@@ -238,17 +256,13 @@
   bool wasTried = false;
   const mean_load mean = aOptions.mSpreadsLoad ? MeanLoad(aFleet, aDemand, aNow) : mean_load{};
   for (const auto& server : backends::ServersOf(aFleet, aDemand.mService)) {
-    if (server->mAnnounced.mIsLeaving || server->mSaysItLeaves || !aDemand.mIsAllowed(*server)) {
-      continue;
-    }
-    if (!backends::TakesRequests(*server, aNow)) {
-      result.mOpensAt = std::min(result.mOpensAt.value_or(time_point::max()), server->mClosedUntil);
-      continue;
-    }
-    if (aDemand.mTriedServers != nullptr &&
-        std::find(aDemand.mTriedServers->begin(), aDemand.mTriedServers->end(),
-                  server->mAnnounced.mId) != aDemand.mTriedServers->end()) {
-      wasTried = true;
+    if (const exclusion excluded = ExclusionOf(*server, aDemand, aNow);
+        excluded != exclusion::None) {
+      if (excluded == exclusion::Closed) {
+        result.mOpensAt =
+          std::min(result.mOpensAt.value_or(time_point::max()), server->mClosedUntil);
+      }
+      wasTried = wasTried || excluded == exclusion::Tried;
       continue;
     }
     const std::uint64_t hash = StableHash(server->mAnnounced.mId.Value());
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -66,6 +66,19 @@
   bool mSpreadsLoad = true;
 };
 
+/// Why a server is no candidate for a request.
+enum class exclusion
+{
+  None,
+  Leaving,
+  NotAllowed, ///< by `demand::mIsAllowed`
+  Closed,     ///< it wants no request from this instance now
+  Tried,
+};
+
+exclusion ExclusionOf(const backends::backend_server& aServer, const demand& aDemand,
+                      time_point aNow);
+
 /// Why no server was chosen.
 enum class no_choice
 {
