--- a/src/entry/failures/caller_slow_headers_test.sh
+++ b/src/entry/failures/caller_slow_headers_test.sh
@@ -11,10 +11,6 @@
 peak_bound_kb=$((64 << 10))
 descriptor_bound=$((crowd + 128))
 
-pid_of() { cat "$dir/$1.pid"; }
-peak_kb() { awk '/^VmHWM:/ { print $2 }' "/proc/$(pid_of "$1")/status"; }
-descriptors() { find "/proc/$(pid_of "$1")/fd" -mindepth 1 | wc -l; }
-
 # Begins a header at the instance $1, and sends a byte more each second if $2 is "drip".
 hold_header() {
   trap '' PIPE
@@ -34,12 +30,7 @@
     fleet_pids+=($!)
   done
   await_equal 30 $crowd begun "$1"
-  chat "$1" depot "Question $seed" "ordinary-$2"
-  expect_equal "$2: answer to an ordinary request" 200 "$(answered "ordinary-$2")"
-  expect_equal "$2: the instance lives" yes "$(kill -0 "$(pid_of "$1")" && echo yes)"
-  echo "$2: peak $(peak_kb "$1") kB, $(descriptors "$1") descriptors"
-  if [ "$(peak_kb "$1")" -gt "$peak_bound_kb" ]; then fail "$2: peak of resident memory: $(peak_kb "$1") kB, bound $peak_bound_kb"; fi
-  if [ "$(descriptors "$1")" -gt "$descriptor_bound" ]; then fail "$2: descriptors: $(descriptors "$1"), bound $descriptor_bound"; fi
+  check_survival "$1" "$2" "$peak_bound_kb" "$descriptor_bound"
 }
 
 test_begin ".caller_threads = $threads"
--- a/src/entry/failures/support.sh
+++ b/src/entry/failures/support.sh
@@ -148,6 +148,21 @@
     "$out" "$@"
 }
 
+# Checks that the instance $1 answers an ordinary request and lives, and that its peak of resident memory is at most $3 kB
+# and its open descriptors are at most $4; $2 names the case.
+check_survival() {
+  local peak descriptors pid
+  pid=$(cat "$dir/$1.pid")
+  chat "$1" depot "Question $seed" "ordinary-$2"
+  expect_equal "$2: answer to an ordinary request" 200 "$(answered "ordinary-$2")"
+  expect_equal "$2: the instance lives" yes "$(kill -0 "$pid" && echo yes)"
+  peak=$(awk '/^VmHWM:/ { print $2 }' "/proc/$pid/status")
+  descriptors=$(find "/proc/$pid/fd" -mindepth 1 | wc -l)
+  echo "$2: peak $peak kB, $descriptors descriptors"
+  if [ "$peak" -gt "$3" ]; then fail "$2: peak of resident memory: $peak kB, bound $3"; fi
+  if [ "$descriptors" -gt "$4" ]; then fail "$2: descriptors: $descriptors, bound $4"; fi
+}
+
 # Prints the HTTP status of an answer and, of a refusal, its outcome: "200", "503 not_run", "409 unknown".
 answered() {
   local outcome=
