Refuse requests whose work ahead exceeds their caller's time

The gateway admitted whatever arrived and learned by time-outs. Each attempt (first, retried, resumed or escalated) is now checked against the work ahead at all servers that it may use, as the shared loads tell it. The ratio of seen to expected waits is measured on the instance's own requests, by octaves of the expected wait; a request is refused only if the ratio that nine in ten requests exceed puts its start beyond the caller's deadline. An unknown load or speed, a server without a report or an idle one admits everything. A refusal is 503 "not run", or 504 once an attempt may have run. An escalation in the same case is dropped. An idempotent call or resumable stream without an answer is cancelled once its server has become so slow that none can come in time.

--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -61,6 +61,14 @@
   std::optional<duration> mRetryAfter; ///< absent: retrying does not help
 };
 
+/// Whether an attempt is made, by the work ahead of it.
+struct work_check
+{
+  /// Time to the answer or first event at the chosen server; absent if it isn't known.
+  std::optional<double> mExpectedMs;
+  std::optional<refusal> mRefusal; ///< no server can answer in time
+};
+
 /// What a caller that comes back can expect.
 struct retry_outlook
 {
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -7,6 +7,7 @@
 #include "gateway/server_choice.h"
 #include "gateway/server_message.h"
 #include "gateway/shift_results.h"
+#include "gateway/work_check.h"
 #include "observe/event_log.h"
 
 #include <algorithm>
@@ -189,6 +190,9 @@
     return aCall.mRuns > 0 ? refusal{ .mStatus = 504, .mTitle = kStopTitle, .mNotRun = false }
                            : refusal{ .mTitle = kStopTitle, .mRetryAfter = kStopRetryAfter };
   }
+  if (aOutcome.mWork.mRefusal) {
+    return *aOutcome.mWork.mRefusal;
+  }
   const time_point now = net::Now();
   const retry_outlook outlook{ .mTimeLeft = aCall.mDeadline - now,
                                .mAnswerTime = HistoryOf(aState, aCall).mExpected,
@@ -277,6 +281,10 @@
     outcome.mOpensAt = choice.mOpensAt;
     co_return outcome;
   }
+  outcome.mWork = CheckWork(aState, aCall, demand, choice, now);
+  if (outcome.mWork.mRefusal) {
+    co_return outcome;
+  }
   const backends::announcement announced = choice.mServer->mAnnounced;
   const bool isNewVersion = shift != nullptr && announced.mVersion == shift->mOrder.mNewVersion;
   outcome.mAttempt = std::make_unique<attempt>(
@@ -329,23 +337,8 @@
   aCall.mKeepsRunning = !history.mIsIdempotent;
   outcome.mExchange->Send(std::move(message));
   outcome.mResult = attempt_result::Broken;
-  const duration left = aCall.mDeadline - sending;
-  duration check = OverdueAfter(history, LatencyOf(aState, aCall), aCall.mRoute->mKind, sending);
-  net::error_code failure = co_await outcome.mExchange->ReadHeader(check);
-  while (failure == net::asio::error::timed_out && check < left && !aCall.mCaller->IsGone()) {
-    if (co_await MovesElsewhere(aState, aCall, *outcome.mAttempt, net::Now() - sending)) {
-      outcome.mResult = attempt_result::TimedOut;
-      outcome.mIsReplaced = true;
-      co_return outcome;
-    }
-    check = NextCheck(net::Now() - sending, left);
-    failure = co_await outcome.mExchange->ReadHeader(sending + check - net::Now());
-  }
+  net::error_code failure = co_await AwaitHeader(aState, aCall, outcome, history, sending);
   if (failure) {
-    outcome.mReadFailure = failure;
-    if (failure == net::asio::error::timed_out) {
-      outcome.mResult = attempt_result::TimedOut;
-    }
     co_return outcome;
   }
   outcome.mAttempt->Server().mLastByte = net::Now();
@@ -388,6 +381,9 @@
     }
   }
   outcome.mResult = header.result_int() >= 500 ? attempt_result::Failure : attempt_result::Success;
+  if (isSuccess && !isNewVersion) {
+    RecordWork(aState, aCall, outcome.mWork, *aCall.mAnswerBegan - sending, false);
+  }
   co_return outcome;
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -107,6 +107,7 @@
   std::string mBody;            ///< of an answer that is not streamed
   net::byte_claim mBodyClaim;   ///< on the memory for the body, or for an incomplete event
   net::error_code mReadFailure; ///< why reading the answer failed, if it did
+  work_check mWork;
 };
 
 /// The gateway's answer to a request that this attempt, its last one, has left without an answer.
--- a/src/gateway/escalation.cpp
+++ b/src/gateway/escalation.cpp
@@ -1,6 +1,7 @@
 #include "gateway/escalation.h"
 
 #include "gateway/server_choice.h"
+#include "gateway/work_check.h"
 #include "observe/event_log.h"
 
 #include <algorithm>
@@ -181,10 +182,13 @@
   std::vector<server_id> tried = std::exchange(aCall.mTriedServers, {});
   const time_point now = net::Now();
   const cascade::escalation run = EscalationOf(aState, aCall, answered, now);
-  const auto verdict = isMeasured ? cascade::Judge(aState.mGoingRates[aCall.mService],
-                                                   RecordOf(aState, aCall, answered.mModelIndex),
-                                                   run, aState.mOptions.mEngineTime, now)
-                                  : cascade::escalation_verdict::Granted;
+  auto verdict = isMeasured ? cascade::Judge(aState.mGoingRates[aCall.mService],
+                                             RecordOf(aState, aCall, answered.mModelIndex), run,
+                                             aState.mOptions.mEngineTime, now)
+                            : cascade::escalation_verdict::Granted;
+  if (verdict == cascade::escalation_verdict::Granted && !MayBeginInTime(aState, aCall, now)) {
+    verdict = cascade::escalation_verdict::TooLate;
+  }
   const bool isGranted = verdict == cascade::escalation_verdict::Granted;
   const bool runs = isGranted && ConsumeRetry(aState, aCall, attempt_result::Failure);
   Report(aState, aCall, answered, run, isGranted && !runs ? "no_budget" : NameOf(verdict));
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -9,6 +9,7 @@
 #include "net/byte_budget.h"
 #include "observe/metrics.h"
 #include "overload/retry.h"
+#include "overload/work_admission.h"
 #include "placement/choose.h"
 #include "placement/speed_board.h"
 #include "quarantine/crash_board.h"
@@ -111,6 +112,7 @@
   /// answer, by route.
   std::unordered_map<std::string, quantile_estimate> mPaces;
   std::unordered_map<service_id, placement::engine_load> mEngineLoads;
+  overload::work_records mWork; ///< for decisions on admission
   std::unordered_map<service_id, cascade::going_rate> mGoingRates;
   /// By route and model.
   std::unordered_map<std::string, cascade::escalation_record> mEscalations;
