--- a/src/overload/work_admission.cpp
+++ b/src/overload/work_admission.cpp
@@ -18,10 +18,10 @@
 constexpr std::size_t kMinSamples = 4;    ///< an instance may get only some requests per second
 constexpr std::size_t kMaxSamples = 24;   ///< of one class
 constexpr duration kSampleLifetime = 10s; ///< servers change their speed within seconds
-/// Share of the requests that may take less time than what a refusal counts with. With 0.25, up to
-/// 18 in 100 requests that would have fitted were refused in the simulated load; see
-/// docs/design/admission-by-work.md.
-constexpr double kLowShare = 0.1;
+/// Share of the requests that may take less time than what a refusal counts with. With 0.1, 10.1
+/// and with 0.25 up to 18 in 100 requests that would have fitted were refused in simulated loads;
+/// see docs/design/admission-by-work.md.
+constexpr double kLowShare = 0.05;
 /// Under lasting overload admitted requests wait for nearly all of their time. Without a margin,
 /// small changes of the measured error cancelled 19 in 100 of them, and more were late than before.
 constexpr double kCancelMargin = 1.5;
--- a/src/overload/work_admission.h
+++ b/src/overload/work_admission.h
@@ -72,7 +72,7 @@
 bool RecordSeenWait(wait_error& aError, double aExpectedMs, duration aSeen, bool aIsLowerBound,
                     time_point aNow);
 
-/// The ratio of seen to expected time that nine in ten requests of `aExpectedMs` exceed. Above 1 if
+/// The ratio of seen to expected time that 19 in 20 requests of `aExpectedMs` exceed. Above 1 if
 /// waits are longer than expected. Absent without samples enough.
 std::optional<double> LeastRatio(const wait_error& aError, double aExpectedMs, time_point aNow);
 
