Refuse nothing by waits that all ended without an answer

After a freeze of the instance or a cut link, all samples of the error were lower bounds, and their ratio (up to 64) would have refused most requests for the 10 s that samples live. The ratio now needs four answers; with fewer, the samples of shorter waits are added.

An attempt that would never become overdue is looked at after half of its time for the cancellation only, so that no more calls move to other servers than before.

--- a/src/gateway/work_check.cpp
+++ b/src/gateway/work_check.cpp
@@ -226,17 +226,17 @@
                                        time_point aSending)
 {
   const duration left = aCall.mDeadline - aSending;
-  duration check =
-    FirstCheck(OverdueAfter(aHistory, LatencyOf(aState, aCall), aCall.mRoute->mKind, aSending),
-               aHistory.mIsIdempotent, left);
+  const duration overdueAfter =
+    OverdueAfter(aHistory, LatencyOf(aState, aCall), aCall.mRoute->mKind, aSending);
+  duration check = FirstCheck(overdueAfter, aHistory.mIsIdempotent, left);
   net::error_code failure = co_await aOutcome.mExchange->ReadHeader(check);
   while (failure == net::asio::error::timed_out && check < left && !aCall.mCaller->IsGone()) {
     const duration waited = net::Now() - aSending;
     if (IsCancelled(aState, aCall, aOutcome.mWork, waited, net::Now())) {
       break;
     }
-    if (aCall.mRuns < aCall.mRoute->mMaxAttempts &&
-        co_await MovesElsewhere(aState, aCall, *aOutcome.mAttempt, waited)) {
+    // An answer that never becomes overdue is looked at for the cancellation only.
+    if (overdueAfter < left && co_await MovesElsewhere(aState, aCall, *aOutcome.mAttempt, waited)) {
       aOutcome.mResult = attempt_result::TimedOut;
       aOutcome.mIsReplaced = true;
       co_return failure;
--- a/src/gateway/work_check.h
+++ b/src/gateway/work_check.h
@@ -24,8 +24,8 @@
                                        attempt_outcome& aOutcome, const attempt_history& aHistory,
                                        time_point aSending);
 
-/// When an attempt's answer is looked for first: when it is overdue, or, if the attempt is the last
-/// one and may be cancelled, after half of its time.
+/// When an attempt's answer is looked for first: when it is overdue, or, if it would never be and
+/// the attempt may be cancelled, after half of its time.
 duration FirstCheck(duration aOverdueAfter, bool aIsIdempotent, duration aLeft);
 
 } // namespace tamarackweir::gateway
--- a/src/overload/work_admission.cpp
+++ b/src/overload/work_admission.cpp
@@ -15,7 +15,8 @@
 constexpr duration kSentHalfLife = 500ms; ///< several reports; a burst shows within one
 /// Age of a report's content as it arrives: each instance's part is up to one report interval old.
 constexpr double kReportLagMs = 200;
-constexpr std::size_t kMinSamples = 4;    ///< an instance may get only some requests per second
+constexpr std::size_t kMinSamples =
+  4; ///< of answers; an instance may get only some requests per second
 constexpr std::size_t kMaxSamples = 24;   ///< of one class
 constexpr duration kSampleLifetime = 10s; ///< servers change their speed within seconds
 /// Share of the requests that may take less time than what a refusal counts with. With 0.1, 10.1
@@ -174,14 +175,17 @@
 std::optional<double> LeastRatio(const wait_error& aError, double aExpectedMs, time_point aNow)
 {
   std::vector<wait_error::sample> samples;
+  std::size_t answered = 0;
   for (std::size_t next = ClassOf(aExpectedMs) + 1; next > 0; --next) {
     for (const wait_error::sample& sample : aError.mSamples[next - 1]) {
       // One from the future was taken before the clock was set back.
       if (sample.mAt <= aNow && aNow - sample.mAt < kSampleLifetime) {
         samples.push_back(sample);
+        answered += sample.mIsLowerBound ? 0 : 1;
       }
     }
-    if (samples.size() >= kMinSamples) {
+    // After a freeze or a cut link all samples are lower bounds, and say nothing of the servers.
+    if (answered >= kMinSamples) {
       return LowQuantile(samples);
     }
   }
--- a/src/overload/work_admission.h
+++ b/src/overload/work_admission.h
@@ -73,7 +73,7 @@
                     time_point aNow);
 
 /// The ratio of seen to expected time that 19 in 20 requests of `aExpectedMs` exceed. Above 1 if
-/// waits are longer than expected. Absent without samples enough.
+/// waits are longer than expected. Absent without answers enough.
 std::optional<double> LeastRatio(const wait_error& aError, double aExpectedMs, time_point aNow);
 
 enum class work_verdict
--- a/src/overload/work_admission_test.cpp
+++ b/src/overload/work_admission_test.cpp
@@ -65,6 +65,21 @@
   CHECK_FALSE(LeastRatio(error, 1000, kNow + 11s));
 }
 
+// Guards against an instance that refuses everything after its own freeze or a cut link.
+TEST_CASE("waits that all ended without an answer refuse nothing")
+{
+  wait_error error;
+  for (int i = 0; i < 30; ++i) {
+    RecordSeenWait(error, 1000, 8s, true, kNow);
+  }
+  CHECK(Judge(error, { .mIsKnown = true, .mWaitMs = 1100, .mServers = 3 }, 8s) ==
+        work_verdict::Admitted);
+  for (int i = 0; i < 10; ++i) {
+    RecordSeenWait(error, 300, 300ms, false, kNow);
+  }
+  CHECK(LeastRatio(error, 1000, kNow) == doctest::Approx(1));
+}
+
 // Guards against bad input that ends the process or decides.
 TEST_CASE("invalid input leaves the last valid value in force")
 {
