--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -14,6 +14,9 @@
 
 namespace tamarackweir::backends {
 
+/// Requests that a server runs at the same time; at least 1.
+using place_count = strong_type<struct place_count_tag, int>;
+
 /// A backend server's announcement of itself.
 struct announcement
 {
@@ -23,8 +26,9 @@
   data_centre_id mDataCentre;
   version_id mVersion; ///< of its software
   bool mIsLeaving = false;
-  duration mColdRemaining = 0s; ///< as of the announcement
-  std::int64_t mStartId = 0;    ///< changes on each start; 0: not given
+  duration mColdRemaining = 0s;       ///< as of the announcement
+  std::int64_t mStartId = 0;          ///< changes on each start; 0: not given
+  std::optional<place_count> mPlaces; ///< absent: not given
 };
 
 /// A value that decays exponentially to zero.
