Hold plain calls while the places of all servers are taken

Application servers run six requests each and reject what they can't queue. With loads that are 0.2 to 1 s old, each of 90 instances sent a rejected call to the next server at once, up to four times.

A waiting room holds plain calls while all usable servers of the service have their places taken as far as known, by the shared loads carried on and by rejections.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -508,6 +508,9 @@
     if (open->mExchange != nullptr) {
       open->mExchange->Close();
     }
+    if (open->mPlaceTimer != nullptr) {
+      open->mPlaceTimer->cancel();
+    }
   }
 }
 
@@ -575,6 +578,9 @@
 
   const open_call open(aState, current);
   current.mCaller->OnGone([&current] {
+    if (current.mPlaceTimer != nullptr) {
+      current.mPlaceTimer->cancel();
+    }
     if (current.mExchange != nullptr && !current.mKeepsRunning) {
       current.mExchange->Close();
     }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -44,8 +44,10 @@
   int mNotSent = 0;                         ///< attempts that failed to connect
   std::vector<data_centre_id> mUnreached;   ///< data centres of servers that could not be reached
   std::shared_ptr<net::exchange> mExchange; ///< of the current attempt
-  std::optional<time_point> mAnswerBegan;   ///< when the current attempt's answer began to arrive
-  bool mKeepsRunning = false;               ///< the attempt continues if the caller disconnects
+  /// While the call waits for a place at a server; cancelled if its caller leaves.
+  std::shared_ptr<net::asio::steady_timer> mPlaceTimer;
+  std::optional<time_point> mAnswerBegan; ///< when the current attempt's answer began to arrive
+  bool mKeepsRunning = false;             ///< the attempt continues if the caller disconnects
   bool mIsWithdrawn = false; ///< closed here: it was quarantined, or the instance stops
   charged_retry mRetry;      ///< of the current attempt
   int mCrashes = 0;          ///< servers that crashed just after they had begun to answer
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -27,6 +27,7 @@
 namespace tamarackweir::gateway {
 
 struct call;
+struct waiting_room;
 
 /// Limits from the deployment's settings.
 struct deployment_bounds
@@ -116,6 +117,9 @@
   std::unordered_map<std::string, cascade::escalation_record> mEscalations;
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
+  /// Where plain calls wait for places of servers, by service and version side. Shared with the
+  /// calls, as they may outlive the state at the end of the process.
+  std::unordered_map<std::string, std::shared_ptr<waiting_room>> mWaitingRooms;
   /// Calls that are being handled. Shared with them, as they may outlive the state at the end of
   /// the process.
   std::shared_ptr<std::set<call*>> mOpenCalls = std::make_shared<std::set<call*>>();
