--- a/src/gateway/waiting_room.cpp
+++ b/src/gateway/waiting_room.cpp
@@ -213,6 +213,7 @@
 
 /// Reports and answers may show at any time that servers have places again.
 constexpr duration kLongestLook = 20ms;
+constexpr duration kLoggedWait = 1ms; ///< shorter ones are counted only
 
 /// What the decisions about a call's wait depend on at one moment.
 struct room_look
@@ -281,6 +282,11 @@
   const time_point arrived = aCall.mRequest->mArrived;
   const std::uint64_t route = StableHash(aCall.mRoute->mName);
   const std::string account = aCall.mAccount != nullptr ? aCall.mAccount->mId.Value() : "";
+  // A call that may have run is sent as long as it can be answered, as its caller can't come back.
+  const call_times times{ .mArrived = arrived,
+                          .mTarget = aCall.mRoute->mTargetLatency,
+                          .mDeadline = aCall.mDeadline,
+                          .mAnswerTime = aBasis.mAnswerTime };
   const bool hasOwnUrgency = aCall.mAccount != nullptr && aCall.mAccount->mUrgency;
   return { .mId = aId,
            .mUrgency =
@@ -288,10 +294,8 @@
            // The route's timeout starts anew with each repeat, the caller's own deadline does not.
            .mDeadline = DeadlineInOrder(
              aRoom, route, arrived, aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout), aNow),
-           .mLatest = LatestSend({ .mArrived = arrived,
-                                   .mTarget = aCall.mRoute->mTargetLatency,
-                                   .mDeadline = aCall.mDeadline,
-                                   .mAnswerTime = aBasis.mAnswerTime }),
+           .mLatest = std::max(
+             aCall.mRuns > 0 ? times.mDeadline - times.mAnswerTime : LatestSend(times), aNow),
            .mParties = { StableHash(account), route,
                          StableHash(aCall.mHeader.mSession.value_or(aCall.mHeader.mAttempt)) },
            .mBytes = aCall.mRequest->mBody.size() };
@@ -369,23 +373,27 @@
   const char* const outcome = ReasonOf(waiting, aCall);
   const time_point end = net::Now();
   const std::string& service = aCall.mService.Value();
-  observe::event_line("place_wait")
-    .Text("request", aCall.mHeader.mAttempt)
-    .Text("service", service)
-    .Text("outcome", outcome)
-    .Millis("waited_ms", end - waiting.mSince)
-    .Number("waiting", static_cast<std::int64_t>(room->mQueue.mRequests.size()))
-    .Real("per_second", room->mPace.mPerSecond)
-    .Number("places", look.mView.mPlaces)
-    .Real("used_share", look.mView.mUsedShare)
-    .Millis("left_ms", aCall.mDeadline - end)
-    .Write();
+  if (!waiting.mIsLetGo || end - waiting.mSince >= kLoggedWait) {
+    observe::event_line("place_wait")
+      .Text("request", aCall.mHeader.mAttempt)
+      .Text("service", service)
+      .Text("outcome", outcome)
+      .Millis("waited_ms", end - waiting.mSince)
+      .Number("waiting", static_cast<std::int64_t>(room->mQueue.mRequests.size()))
+      .Real("per_second", room->mPace.mPerSecond)
+      .Number("places", look.mView.mPlaces)
+      .Real("used_share", look.mView.mUsedShare)
+      .Millis("left_ms", aCall.mDeadline - end)
+      .Write();
+  }
   aState.mMetrics.Count("tamarackweir_place_waits_total",
                         { { "service", service }, { "outcome", outcome } });
   if (!waiting.mRefused || aCall.mCaller->IsGone() || aCall.mIsWithdrawn) {
     if (IsQuarantined(aState, aCall)) {
       // No Retry-After, because a retry would be refused as well.
-      co_return refusal{ .mTitle = "the request crashes backend servers" };
+      refusal quarantined = RefusalAfter(aLast, aCall.mRuns > 0, {}, 0);
+      quarantined.mRetryAfter.reset();
+      co_return quarantined;
     }
     co_return std::nullopt;
   }
--- a/src/overload/waiting_load_test.cpp
+++ b/src/overload/waiting_load_test.cpp
@@ -219,7 +219,7 @@
       .mId = id,
       .mDeadline = DeadlineInOrder(instance.mRoom, 0, aCall->mArrived,
                                    aCall->mFirst + kCallerDeadline - aCall->mArrived, mNow),
-      .mLatest = LatestSend(times)
+      .mLatest = std::max(LatestSend(times), mNow)
     };
     Apply(instance, Enter(instance.mRoom, request, ViewOf(instance), BasisOf(instance), mNow));
   }
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -44,7 +44,7 @@
   std::vector<model_id>
     mModels;               ///< models to choose from, smallest first; empty: the caller names one
   duration mTimeout = 30s; ///< until the end of the final answer
-  duration mTargetLatency = 1s; ///< aim for the answer or first event; no decision reads it
+  duration mTargetLatency = 1s; ///< for the answer or first event; bounds the wait for a place
   duration mTargetGap = 0s;     ///< the same for the longest pause between events; 0: none
   urgency mUrgency{ 5 };
   int mMaxAttempts = 1; ///< backend servers on which one request may run
