--- a/src/overload/waiting_load_test.cpp
+++ b/src/overload/waiting_load_test.cpp
@@ -502,3 +502,44 @@
   CHECK(Simulate({ .mName = "a slow server", .mLoad = 2, .mHasSlowServer = true }, true).mSwing <
         0.25);
 }
+
+// Guards against an account that is never let go, as more urgent ones or one with six times its
+// traffic take all places that come free within the time that its calls can wait.
+TEST_CASE("no account, route or session is starved while few calls can wait")
+{
+  constexpr int kAccounts = 4;
+  const overload::place_view taken{ .mPlaces = 24, .mAreTaken = true, .mReportedAt = kStart };
+  const overload::pace_basis basis{ .mAnswerTime = 30ms, .mInstances = 90 };
+  for (std::size_t kind = 0; kind < overload::kWaitingParties; ++kind) {
+    waiting_room room;
+    std::map<overload::waiting_id, int> accountOf;
+    std::map<int, int> sent;
+    int total = 0;
+    const auto count = [&](const ended_waits& aEnded) {
+      for (const overload::waiting_id id : aEnded.mLetGo) {
+        ++sent[accountOf.at(id)];
+        ++total;
+      }
+    };
+    std::mt19937_64 random(1);
+    for (time_point now = kStart; now < kStart + 60s; now += 5ms) {
+      // Account 0 has six calls for each one of the others, account 3 is the least urgent.
+      const int account = std::max<int>(0, static_cast<int>(random() % 9) - 5);
+      overload::waiting_request request{ .mId = ++room.mLastId,
+                                         .mUrgency = account == kAccounts - 1 ? 9 : 2,
+                                         .mDeadline = now + 1500ms,
+                                         .mLatest = now + 90ms };
+      request.mParties[kind] = static_cast<std::uint64_t>(account) + 1;
+      accountOf[request.mId] = account;
+      count(Enter(room, request, taken, basis, now));
+      count(Advance(room, taken, basis, now));
+    }
+    CHECK(total > 1000);
+    for (int account = 0; account < kAccounts; ++account) {
+      CHECK(sent[account] * overload::kTurnEvery * overload::kWaitingParties * kAccounts >=
+            static_cast<std::uint64_t>(total));
+    }
+    MESSAGE("let go by account: " << sent[0] << ", " << sent[1] << ", " << sent[2] << ", "
+                                  << sent[3]);
+  }
+}
