--- a/src/gateway/waiting_room.cpp
+++ b/src/gateway/waiting_room.cpp
@@ -331,6 +331,9 @@
                                room_look aLook)
 {
   waiting_room& room = *aWaiting.mRoom;
+  if (aCall.mCaller->IsGone() || aCall.mIsWithdrawn) {
+    co_return aLook;
+  }
   time_point now = net::Now();
   const overload::waiting_request request = RequestOf(room, aCall, aWaiting.mId, aLook.mBasis, now);
   Apply(room, Enter(room, request, aLook.mView, aLook.mBasis, now));
--- a/src/overload/waiting_queue_test.cpp
+++ b/src/overload/waiting_queue_test.cpp
@@ -125,7 +125,9 @@
   }
   CHECK(RemoveHopeless(queue, kStart + 20ms, 40ms) == std::vector<waiting_id>{ 4, 5 });
   CHECK(RemoveLate(queue, kStart + 100ms).empty());
-  CHECK(RemoveLate(queue, kStart + 101ms).size() == 3);
+  CHECK(Remove(queue, 2)); // its caller has left
+  CHECK_FALSE(Remove(queue, 2));
+  CHECK(RemoveLate(queue, kStart + 101ms) == std::vector<waiting_id>{ 1, 3 });
 }
 
 // Guards against calls that are held by an instance that knows nothing, or while servers idle.
