Load one of few new servers in a step before the ramp

The collectors plan it from the usual load and the time of a request, and write it into the roll-out's row; the ramp waits until it has been judged. Failures under load of a server that worked before show a fault of the version; the others need failures on several servers, each above what is tolerated. A plan that can't show the load in time does not hold up a good version.

--- a/src/gateway/shift_results.cpp
+++ b/src/gateway/shift_results.cpp
@@ -25,11 +25,16 @@
 }
 
 /// Results of the old version are counted without their servers, which keeps reports short.
-rollout::result_key KeyOf(const call& aCall, const attempt& aAttempt)
+rollout::result_key KeyOf(const gateway_state& aState, const rollout::shift& aShift,
+                          const call& aCall, const attempt& aAttempt)
 {
+  const bool isLoaded =
+    aAttempt.IsNewVersion() &&
+    rollout::IsSentUnderLoad(aShift, aState.mOptions.mShift, aAttempt.Started());
   return { .mIsNew = aAttempt.IsNewVersion(),
            .mRoute = aCall.mRoute->mName,
-           .mServer = aAttempt.IsNewVersion() ? aAttempt.Server().mAnnounced.mId : server_id() };
+           .mServer = aAttempt.IsNewVersion() ? aAttempt.Server().mAnnounced.mId : server_id(),
+           .mIsLoaded = isLoaded };
 }
 
 void HaltIfBad(gateway_state& aState, rollout::shift& aShift)
@@ -48,7 +53,7 @@
     return;
   }
   const bool isSlow = IsOffPace(aUsual, aTime);
-  rollout::RecordPace(aShift, KeyOf(aCall, aAttempt), isSlow);
+  rollout::RecordPace(aShift, KeyOf(aState, aShift, aCall, aAttempt), isSlow);
   if (isSlow && aAttempt.IsNewVersion()) {
     HaltIfBad(aState, aShift);
   }
@@ -90,7 +95,7 @@
     return;
   }
   const bool isBad = !isSuccess || IsSlow(LatencyOf(aState, aCall), aTime);
-  rollout::RecordResult(*shift, KeyOf(aCall, tried), !isBad);
+  rollout::RecordResult(*shift, KeyOf(aState, *shift, aCall, tried), !isBad);
   if (tried.IsNewVersion()) {
     const time_point now = net::Now();
     rollout::RecordLoad(*shift, backends::RequestsAt(tried.Server(), now),
@@ -129,7 +134,8 @@
     ++load.mServers;
   }
   return { .mOld = oldVersion.PerServer(oldVersion.mRequests),
-           .mFuture = newVersion.PerServer(oldVersion.mRequests + newVersion.mRequests) };
+           .mFuture = newVersion.PerServer(oldVersion.mRequests + newVersion.mRequests),
+           .mNewServers = static_cast<std::size_t>(newVersion.mServers) };
 }
 
 void HaltShift(rollout::shift& aShift, const instance_id& aBy)
--- a/src/rollout/canary_servers.h
+++ b/src/rollout/canary_servers.h
@@ -35,11 +35,17 @@
 /// more. A share below that of a single server stays as it is.
 double ShareForWholeServers(double aShare, std::size_t aServers);
 
+/// The share of the canary of a roll-out to that many listed servers. Smaller if it leaves room for
+/// a load step.
+double PlannedCanaryShare(duration aLength, std::size_t aOldServers, std::size_t aNewServers,
+                          const schedule_options& aOptions);
+
 /// The servers that the new version's requests go to now; empty if none is usable.
 ///
 /// All instances use the same servers without a message: they walk the rendezvous order of the
 /// listed servers from a place that moves on with each turn of the canary, and skip servers that
-/// are not usable. In the ramp the place stays and the set grows with the share.
+/// are not usable. In the ramp the place stays and the set grows with the share. A load step starts
+/// at a server whose results without load show that it is not faulty itself.
 std::vector<server_id> CanaryServers(const shift& aShift, const shift_options& aOptions,
                                      std::vector<canary_candidate> aListed, time_point aNow);
 
--- a/src/rollout/results_message.cpp
+++ b/src/rollout/results_message.cpp
@@ -14,7 +14,7 @@
   json results = json::array();
   for (const auto& [key, result] : aReport.mResults) {
     results.push_back({ key.mIsNew, key.mRoute, key.mServer.Value(), result.mGood, result.mBad,
-                        result.mOnPace, result.mSlow });
+                        result.mOnPace, result.mSlow, key.mIsLoaded });
   }
   return json{
     { "service", aReport.mService.Value() },
@@ -36,7 +36,8 @@
     for (const json& entry : message.at("results")) {
       const result_key key{ .mIsNew = entry.at(0).get<bool>(),
                             .mRoute = entry.at(1).get<std::string>(),
-                            .mServer = server_id(entry.at(2).get<std::string>()) };
+                            .mServer = server_id(entry.at(2).get<std::string>()),
+                            .mIsLoaded = entry.size() > 7 && entry.at(7).get<bool>() };
       shift_counts& counts = report.mResults[key];
       counts = { .mGood = entry.at(3).get<std::uint64_t>(),
                  .mBad = entry.at(4).get<std::uint64_t>() };
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -46,6 +46,7 @@
   shift_counts mOld;
   shift_counts mNew;
   std::map<server_id, shift_counts> mNewByServer;
+  std::map<server_id, shift_counts> mLoadedByServer; ///< the part sent under load
 };
 
 void AddCounts(shift_counts& aTo, const shift_counts& aFrom)
@@ -65,6 +66,9 @@
       AddCounts(key.mIsNew ? routeCounts.mNew : routeCounts.mOld, result);
       if (key.mIsNew) {
         AddCounts(routeCounts.mNewByServer[key.mServer], result);
+        if (key.mIsLoaded) {
+          AddCounts(routeCounts.mLoadedByServer[key.mServer], result);
+        }
       }
     }
   }
@@ -167,13 +171,70 @@
   return { .mGood = aCounts.mNew.mGood - worst.mGood, .mBad = aCounts.mNew.mBad - worst.mBad };
 }
 
+/// Returns whether also the servers without the worst one fail more than is tolerated.
+bool FailsElsewhere(const version_counts& aCounts, const shift_options& aOptions,
+                    double aSignificance)
+{
+  const double rate =
+    ToleratedRate(Failures(aCounts.mOld), aOptions.mBadRateFloor, aOptions.mBadRateFactor);
+  return IsAbove(FailuresWithoutWorstServer(aCounts), rate, aSignificance);
+}
+
+/// Results under load, and the failure rate above which they show a fault of the version.
+struct loaded_tally
+{
+  tally mFailures;
+  double mToleratedRate = 0; ///< mean
+};
+
+/// The results under load of the servers that are known without it. A server that failed as often
+/// before may be faulty itself, so its own rate is tolerated.
+loaded_tally FailuresUnderLoad(const version_counts& aCounts, const shift_options& aOptions)
+{
+  const double usual =
+    ToleratedRate(Failures(aCounts.mOld), aOptions.mBadRateFloor, aOptions.mBadRateFactor);
+  loaded_tally result;
+  double tolerated = 0;
+  for (const auto& [server, counts] : aCounts.mLoadedByServer) {
+    const tally all = Failures(aCounts.mNewByServer.at(server));
+    const tally loaded = Failures(counts);
+    const tally before{ .mGood = all.mGood - loaded.mGood, .mBad = all.mBad - loaded.mBad };
+    if (before.Trials() < aOptions.mMinRouteResults) {
+      continue;
+    }
+    const double own =
+      (static_cast<double>(before.mBad) + 0.5) / (static_cast<double>(before.Trials()) + 1);
+    tolerated +=
+      std::clamp(own * aOptions.mBadRateFactor, usual, 0.9) * static_cast<double>(loaded.Trials());
+    result.mFailures.mGood += loaded.mGood;
+    result.mFailures.mBad += loaded.mBad;
+  }
+  result.mToleratedRate =
+    tolerated / static_cast<double>(std::max<std::uint64_t>(1, result.mFailures.Trials()));
+  return result;
+}
+
+bool FailsUnderLoad(const version_counts& aCounts, const shift_options& aOptions,
+                    double aSignificance)
+{
+  const loaded_tally loaded = FailuresUnderLoad(aCounts, aOptions);
+  return IsAbove(loaded.mFailures, loaded.mToleratedRate, aSignificance);
+}
+
 bool IsProvenWorse(const version_counts& aCounts, const shift_options& aOptions)
 {
   const tally elsewhere = FailuresWithoutWorstServer(aCounts);
-  const bool fails = FailsMore(aCounts, aOptions, aOptions.mHaltSignificance) &&
-                     (elsewhere.mBad >= 2 || (elsewhere.Trials() < aOptions.mMinResults &&
-                                              aCounts.mNew.mBad >= aOptions.mConclusiveFailures));
-  return fails || IsSlower(aCounts, aOptions, aOptions.mHaltSignificance);
+  const bool failsOnSeveral =
+    elsewhere.mBad >= 2 && FailsElsewhere(aCounts, aOptions, aOptions.mRollBackSignificance);
+  const bool failsOnOnly =
+    elsewhere.Trials() < aOptions.mMinResults && aCounts.mNew.mBad >= aOptions.mConclusiveFailures;
+  const bool fails =
+    FailsMore(aCounts, aOptions, aOptions.mHaltSignificance) && (failsOnSeveral || failsOnOnly);
+  // A crash of the server in use makes fewer requests fail.
+  const bool failsUnderLoad =
+    FailuresUnderLoad(aCounts, aOptions).mFailures.mBad >= aOptions.mConclusiveFailures &&
+    FailsUnderLoad(aCounts, aOptions, aOptions.mHaltSignificance);
+  return fails || failsUnderLoad || IsSlower(aCounts, aOptions, aOptions.mHaltSignificance);
 }
 
 /// Sums the known results of all instances by route; the entry with an empty name sums all routes.
@@ -192,8 +253,10 @@
 {
   const tally elsewhere = FailuresWithoutWorstServer(aCounts);
   const bool isSingleServerFault =
-    elsewhere.mBad == 0 && elsewhere.mGood >= aOptions.mMinRouteResults;
+    elsewhere.mGood >= aOptions.mMinRouteResults &&
+    !FailsElsewhere(aCounts, aOptions, aOptions.mElsewhereSignificance);
   return (!isSingleServerFault && FailsMore(aCounts, aOptions, aOptions.mRollBackSignificance)) ||
+         FailsUnderLoad(aCounts, aOptions, aOptions.mRollBackSignificance) ||
          IsSlower(aCounts, aOptions, aOptions.mSlowRollBackSignificance);
 }
 
@@ -235,13 +298,45 @@
          Failures(all->second.mNew).Trials() < aOptions.mMinResults;
 }
 
+/// Whether the new version was judged only at loads below a share of the one that it will have.
+bool IsJudgedBelow(const shift& aShift, const shift_options& aOptions, double aShare)
+{
+  return JudgedLoadShare(aShift, aOptions).value_or(1) < aShare;
+}
+
+/// Time, as a fraction of the duration, from a rise of the load to the results that show it.
+double JudgementTime(const shift& aShift, const shift_options& aOptions)
+{
+  return FractionOf(aShift.mUsualTime + aOptions.mResultDelay, aShift);
+}
+
+/// Whether the plan of the shift can show the future load. If it can't, as on few servers in a
+/// short roll-out, the load does not hold up a good version.
+bool CanSeeLoad(const shift& aShift, const shift_options& aOptions)
+{
+  const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
+  const std::size_t servers = aShift.mUsualLoads.mNewServers;
+  // Twice the load that must be seen, as the requests in flight vary.
+  return servers == 0 ||
+         schedule.mCanaryShare * static_cast<double>(servers) >= 2 * aOptions.mLeastJudgedLoad ||
+         schedule.mSuccess - schedule.mLoadStart >= JudgementTime(aShift, aOptions);
+}
+
+/// Whether the new version was judged only far below the load that it will have.
+bool IsLoadUnseen(const shift& aShift, const shift_options& aOptions)
+{
+  return IsJudgedBelow(aShift, aOptions, aOptions.mLeastJudgedLoad) && CanSeeLoad(aShift, aOptions);
+}
+
 /// The phase after the canary, shortly before the ramp or later.
 std::optional<shift_phase> PhaseAfterCanary(const shift& aShift, const shift_options& aOptions,
-                                            bool aIsRampDue)
+                                            double aElapsed)
 {
+  const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
   const auto byRoute = PoolResults(aShift);
   const bool canPass =
     !byRoute.empty() &&
+    !(HasLoadStep(schedule) && IsJudgedBelow(aShift, aOptions, aOptions.mLoadedFrom)) &&
     std::all_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
       const version_counts& routeCounts = aEntry.second;
       return Failures(routeCounts.mNew).Trials() >= aOptions.mMinRouteResults &&
@@ -252,18 +347,58 @@
   if (canPass) {
     return shift_phase::Passed;
   }
-  if (!aIsRampDue) {
+  if (aElapsed < schedule.mRampStart) {
     return std::nullopt;
   }
-  return IsUnknown(byRoute, aShift, aOptions) || IsSuspicious(byRoute, aOptions)
-           ? shift_phase::RolledBack
-           : shift_phase::Passed;
+  if (IsUnknown(byRoute, aShift, aOptions) || IsSuspicious(byRoute, aOptions)) {
+    return shift_phase::RolledBack;
+  }
+  if (HasLoadStep(schedule) && IsLoadUnseen(aShift, aOptions)) {
+    return aElapsed < schedule.mSuccess ? std::nullopt : std::optional(shift_phase::RolledBack);
+  }
+  return shift_phase::Passed;
 }
 
-/// Whether the new version was judged only far below the load that it will have.
-bool IsLoadUnseen(const shift& aShift, const shift_options& aOptions)
+/// From when on a shift may pass. All instances should know of it at the start of the ramp, but
+/// most of a load step has to be seen.
+double PassFrom(const shift& aShift, const shift_options& aOptions)
 {
-  return JudgedLoadShare(aShift, aOptions).value_or(1) < aOptions.mLeastJudgedLoad;
+  const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
+  const double lead = FractionOf(aOptions.mPassLead, aShift);
+  const double step = schedule.mRampStart - schedule.mLoadStart;
+  return std::max(aOptions.mCanaryEnd,
+                  schedule.mRampStart - (HasLoadStep(schedule) ? std::min(lead, step / 4) : lead));
+}
+
+/// The server of the new version with the most results of those that do not fail; empty if none is
+/// known.
+server_id BestKnownServer(const shift& aShift, const shift_options& aOptions)
+{
+  const auto byRoute = PoolResults(aShift);
+  const auto all = byRoute.find("");
+  server_id best;
+  std::uint64_t most = 0;
+  if (all == byRoute.end()) {
+    return best;
+  }
+  const double rate =
+    ToleratedRate(Failures(all->second.mOld), aOptions.mBadRateFloor, aOptions.mBadRateFactor);
+  for (const auto& [server, counts] : all->second.mNewByServer) {
+    const tally results = Failures(counts);
+    if (results.Trials() > most && !IsAbove(results, rate, aOptions.mHoldSignificance)) {
+      best = server;
+      most = results.Trials();
+    }
+  }
+  return best;
+}
+
+/// Whether the load step has to be planned now, so that all instances know of it in time.
+bool IsLoadStepDue(const shift& aShift, const shift_options& aOptions, double aElapsed)
+{
+  return !aShift.mProgress->mLoadStep &&
+         aElapsed >= aOptions.mCanaryEnd - FractionOf(aOptions.mPassLead, aShift) &&
+         PlannedLoadStep(aShift, aOptions).mShare > 0;
 }
 
 } // namespace
@@ -277,7 +412,38 @@
 {
   const double agreed = aShift.mProgress ? aShift.mProgress->mCanaryShare : 0;
   return PlanExposure(aShift.mOrder.mDuration,
-                      agreed > 0 ? agreed : MaxCanaryShare(aOptions.mSchedule), aOptions.mSchedule);
+                      agreed > 0 ? agreed : MaxCanaryShare(aOptions.mSchedule), aOptions.mSchedule,
+                      aShift.mProgress ? aShift.mProgress->mLoadStep.value_or(load_step{})
+                                       : load_step{});
+}
+
+load_step PlannedLoadStep(const shift& aShift, const shift_options& aOptions)
+{
+  const std::size_t servers = aShift.mUsualLoads.mNewServers;
+  const double canary = ScheduleOf(aShift, aOptions).mCanaryShare;
+  if (servers == 0 || canary * static_cast<double>(servers) >= 1) {
+    return {};
+  }
+  const duration needed = aShift.mUsualTime + aOptions.mResultDelay;
+  // The load rises during a third of this time. Some faults take longer to show.
+  const duration wanted = std::max(3 * needed, aShift.mOrder.mDuration / 50);
+  for (const double load : { aOptions.mSchedule.mStepLoad, 1.0 }) {
+    load_step step{ .mShare = LoadStepShare(servers, load, aOptions.mSchedule),
+                          .mLength = wanted,
+                          .mFirst = BestKnownServer(aShift, aOptions) };
+    const exposure_schedule planned =
+      PlanExposure(aShift.mOrder.mDuration, canary, aOptions.mSchedule, step);
+    if (HasLoadStep(planned) &&
+        planned.mRampStart - planned.mLoadStart >= FractionOf(needed, aShift)) {
+      return step;
+    }
+  }
+  return {};
+}
+
+bool IsSentUnderLoad(const shift& aShift, const shift_options& aOptions, time_point aSent)
+{
+  return ElapsedFraction(aShift, aSent) >= ScheduleOf(aShift, aOptions).mLoadStart;
 }
 
 double NewVersionShare(const shift& aShift, const shift_options& aOptions, time_point aNow)
@@ -294,7 +460,7 @@
 bool IsCanaryShare(const shift& aShift, const shift_options& aOptions, time_point aNow)
 {
   const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
-  return IsRunning(aShift) && ElapsedFraction(aShift, aNow) < schedule.mRampStart;
+  return IsRunning(aShift) && ElapsedFraction(aShift, aNow) < schedule.mLoadStart;
 }
 
 std::vector<std::uint64_t> SessionsToKeepOnOldVersion(const shift_options& aOptions,
@@ -398,6 +564,14 @@
   const double weight = usual.mFuture > 0 ? kWeight : 1;
   usual.mOld += weight * (aLoads.mOld - usual.mOld);
   usual.mFuture += weight * (aLoads.mFuture - usual.mFuture);
+  usual.mNewServers = aLoads.mNewServers;
+  // Little's law: the requests in flight are those that arrive while one is served.
+  const shift_totals totals = TotalsOf(aShift);
+  const std::uint64_t results = Failures(totals.mOld).Trials() + Failures(totals.mNew).Trials();
+  const double inFlight = usual.mFuture * static_cast<double>(usual.mNewServers);
+  const double arrived = static_cast<double>(results) + inFlight;
+  aShift.mUsualTime = std::chrono::duration_cast<duration>((aNow - aShift.mStartedAt) *
+                                                           (inFlight / std::max(1.0, arrived)));
 }
 
 void MergeLoads(shift& aShift, const std::string& aInstance, const load_counts& aLoads)
@@ -455,11 +629,14 @@
   const double elapsed = ElapsedFraction(aShift, aNow);
   const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
   if (phase == shift_phase::Running) {
-    const double decideFrom =
-      std::max(aOptions.mCanaryEnd, schedule.mRampStart - FractionOf(aOptions.mPassLead, aShift));
-    return aScope == evidence_scope::Pooled && elapsed >= decideFrom
-             ? PhaseAfterCanary(aShift, aOptions, elapsed >= schedule.mRampStart)
-             : std::nullopt;
+    if (aScope != evidence_scope::Pooled) {
+      return std::nullopt;
+    }
+    if (IsLoadStepDue(aShift, aOptions, elapsed)) {
+      return shift_phase::Running;
+    }
+    return elapsed >= PassFrom(aShift, aOptions) ? PhaseAfterCanary(aShift, aOptions, elapsed)
+                                                 : std::nullopt;
   }
   // Collectors decide first; the other instances act only if no collector has done so.
   const double settle = 1 - schedule.mSuccess;
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -41,9 +41,10 @@
 {
   std::uint64_t mOrderId = 0;
   shift_phase mPhase = shift_phase::Running;
-  std::int64_t mStartedMs = 0; ///< on the store's clock
-  std::int64_t mPassedMs = 0;  ///< on the store's clock; 0 if it has not passed
-  double mCanaryShare = 0;     ///< of the sessions; 0: the largest
+  std::int64_t mStartedMs = 0;        ///< on the store's clock
+  std::int64_t mPassedMs = 0;         ///< on the store's clock; 0 if it has not passed
+  double mCanaryShare = 0;            ///< of the sessions; 0: the largest
+  std::optional<load_step> mLoadStep; ///< absent until it is planned
 };
 
 /// Limits of the test of the new version.
@@ -63,6 +64,8 @@
   double mRollBackSignificance = 0.01; ///< p-value below which it is not passed but rolled back
   /// The same for slow answers; a slow version that succeeds serves everybody slowly.
   double mSlowRollBackSignificance = 0.014;
+  /// The same for the servers without the worst one, if a single server may be faulty.
+  double mElsewhereSignificance = 0.03;
   std::uint64_t mMinRouteResults = 12;  ///< of each route, to pass; enough to detect 50% failures
   std::uint64_t mMinResults = 6;        ///< of all routes, to pass at all, if there is traffic
   std::uint64_t mMinPaceResults = 6;    ///< to compare the pace
@@ -73,6 +76,10 @@
   /// Share of the future load at which the new version must have been judged. Far below 1, as the
   /// load varies and the instances know it late.
   double mLeastJudgedLoad = 0.3;
+  /// Until a result is known to the collectors, and their decision to all instances.
+  duration mResultDelay = 800ms;
+  /// The same to pass early from a load step, which brings the whole future load.
+  double mLoadedFrom = 0.7;
   duration mSessionGap = 5s;           ///< after a longer pause a session may change its version
   duration mSessionListDelay = 1200ms; ///< until each instance publishes its active sessions
 };
@@ -82,7 +89,8 @@
 {
   bool mIsNew = false;
   std::string mRoute;
-  server_id mServer; ///< empty for the old version
+  server_id mServer;      ///< empty for the old version
+  bool mIsLoaded = false; ///< of the new version, sent in the load step or in the ramp
 
   // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 reports the compiler's comparison with 0
   auto operator<=>(const result_key&) const = default;
@@ -111,6 +119,7 @@
 {
   double mOld = 0;    ///< at the old version's servers
   double mFuture = 0; ///< at the new version's servers, once they serve all requests
+  std::size_t mNewServers = 0;
 };
 
 /// State that one instance keeps about a shift.
@@ -126,6 +135,7 @@
   load_counts mOwnLoads{};
   std::map<std::string, load_counts> mPeerLoads; ///< highest counts, by instance id and start
   server_loads mUsualLoads;              ///< smoothed, of the canary phase; 0 until they are known
+  duration mUsualTime{};                 ///< of a request until its end, once the loads are known
   std::set<std::uint64_t> mKeptSessions; ///< on the old version during the canary, of all instances
 };
 
@@ -153,6 +163,13 @@
 /// Returns the plan of the shift.
 exposure_schedule ScheduleOf(const shift& aShift, const shift_options& aOptions);
 
+/// The load step for the servers known now. There is none if the canary loads a server as after
+/// success, or if requests would end too late to show a fault.
+load_step PlannedLoadStep(const shift& aShift, const shift_options& aOptions);
+
+/// Returns whether a request sent at `aSent` belongs to the load step or the ramp.
+bool IsSentUnderLoad(const shift& aShift, const shift_options& aOptions, time_point aSent);
+
 /// Returns the share of sessions that go to the new version.
 double NewVersionShare(const shift& aShift, const shift_options& aOptions, time_point aNow);
 
@@ -220,7 +237,9 @@
 /// Compares the failures and the slow answers of the new version with those of the old one, for
 /// each route and for all routes together. Unless `mConclusiveFailures` applies, at least two
 /// must come from servers other than the worst one, because a single faulty server is not a fault
-/// of its version. A version is slow only if most of its servers are.
+/// of its version. Servers that worked in the canary and fail in the load step or the ramp show
+/// that the version fails under load, even if it is one server. A version is slow only if most of
+/// its servers are.
 bool IsNewVersionBad(const shift& aShift, const shift_options& aOptions);
 
 /// The instances whose results a decision is based on.
@@ -234,8 +253,9 @@
 ///
 /// A shift passes shortly before its ramp, if each route has enough results and none is suspicious.
 /// A shift that is still suspicious when the ramp should start, or has almost no results, is rolled
-/// back, unless only one of several servers fails. A version that was judged only far below its
-/// future load does not succeed. These decisions require the results of all instances.
+/// back, unless only one of several servers fails. The ramp waits for a load step to show the load
+/// to come. `Running` is written again to plan the load step. A version that was judged only far
+/// below its future load does not succeed. These decisions require the results of all instances.
 std::optional<shift_phase> NextPhase(const shift& aShift, const shift_options& aOptions,
                                      evidence_scope aScope, time_point aNow);
 
