--- a/src/rollout/canary_servers_test.cpp
+++ b/src/rollout/canary_servers_test.cpp
@@ -94,6 +94,27 @@
   }
 }
 
+// Guards against a load step on a server that is known to fail, or that lacks results to compare.
+TEST_CASE("a load step uses the server that the plan names, one turn long at least")
+{
+  shift running = MakeShift(60s);
+  const server_id named("s-2");
+  running.mProgress->mLoadStep = load_step{ .mShare = 0.4, .mLength = 4s, .mFirst = named };
+  const exposure_schedule schedule = ScheduleOf(running, {});
+  REQUIRE(HasLoadStep(schedule));
+  std::vector<canary_candidate> servers = Servers(3);
+  for (const double part : { 0.01, 0.5, 0.99 }) {
+    const time_point now =
+      kStart + std::chrono::duration_cast<duration>(
+                 running.mOrder.mDuration *
+                 (schedule.mLoadStart + part * (schedule.mRampStart - schedule.mLoadStart)));
+    CHECK(CanaryServers(running, {}, servers, now) == std::vector<server_id>{ named });
+    servers[2].mIsUsable = false;
+    CHECK(CanaryServers(running, {}, servers, now).front() != named);
+    servers[2].mIsUsable = true;
+  }
+}
+
 // Guards against streams and cached prompts that move at each step of the ramp.
 TEST_CASE("in the ramp the set only grows, up to all servers")
 {
--- a/src/rollout/exposure_schedule_test.cpp
+++ b/src/rollout/exposure_schedule_test.cpp
@@ -30,6 +30,33 @@
   }
 }
 
+// Guards against a load step that costs more than canary and ramp give up for it, and against one
+// that moves sessions in the first half.
+TEST_CASE("a load step stays within the exposure bound and in the second half")
+{
+  const schedule_options options{ .mExposureBound = 0.0975 };
+  for (const std::size_t servers : { 2U, 3U, 5U, 10U, 20U }) {
+    for (const duration length : { 10s, 20s, 60s, 3600s }) {
+      const load_step step{ .mShare = LoadStepShare(servers, 1, options), .mLength = 30s };
+      const double canary =
+        CanaryShareBeforeLoad(length, MaxCanaryShare(options), step.mShare, options);
+      const exposure_schedule schedule = PlanExposure(length, canary, options, step);
+      CAPTURE(servers);
+      CAPTURE(length.count());
+      CHECK(HasLoadStep(schedule) == (length > 10s || servers >= 10));
+      CHECK(ExpectedExposure(schedule) < options.mExposureBound);
+      CHECK(schedule.mLoadStart >= 0.5);
+      double last = 0;
+      for (double elapsed = 0; elapsed < 1; elapsed += 0.001) {
+        const double share = ShareAt(schedule, elapsed, schedule.mRampStart);
+        CHECK(share >= last);
+        last = share;
+      }
+      CHECK(last == 1);
+    }
+  }
+}
+
 TEST_CASE("the share never falls, and reaches 1 before the deadline")
 {
   for (const duration length : { 2s, 6s, 16s, 60s }) {
--- a/src/rollout/shift_test.cpp
+++ b/src/rollout/shift_test.cpp
@@ -445,6 +445,9 @@
   shift running = MakeShift();
   RecordMany(running, true, "new-1", 3, 1);
   RecordPace(running, { .mIsNew = true, .mRoute = "r", .mServer = server_id("new-1") }, true);
+  RecordResult(running,
+               { .mIsNew = true, .mRoute = "r", .mServer = server_id("new-1"), .mIsLoaded = true },
+               false);
   const results_report sent{ .mService = service_id("llm"),
                              .mOrderId = 5,
                              .mInstance = "a/1",
@@ -469,6 +472,64 @@
   CHECK_THROWS_AS(DecodeReport("["), error);
 }
 
+// Guards against a version that fails under load on the only server that has the load, and against
+// a server that fails at any load and condemns its version.
+TEST_CASE("a server that worked before and fails under load shows a fault of the version")
+{
+  const auto phaseOnRamp = [](int aGoodBefore, int aBadBefore) {
+    shift running = MakeShift();
+    running.mProgress = shift_progress{ .mOrderId = 5 };
+    RecordMany(running, false, "", 400, 4);
+    RecordMany(running, true, "new-1", aGoodBefore, aBadBefore);
+    RecordMany(running, true, "new-2", 40, 0);
+    const result_key loaded{
+      .mIsNew = true, .mRoute = "r", .mServer = server_id("new-1"), .mIsLoaded = true
+    };
+    for (int i = 0; i < 40; ++i) {
+      RecordResult(running, loaded, i % 2 == 0);
+    }
+    return PhaseAt(running, ScheduleOf(running).mRampStart + 0.001);
+  };
+  CHECK(phaseOnRamp(20, 0) == shift_phase::RolledBack);
+  CHECK(phaseOnRamp(10, 10) == shift_phase::Passed);
+  CHECK(phaseOnRamp(2, 0) == shift_phase::Passed); // may be faulty as well
+}
+
+// Guards against a ramp before the load step has shown the load, and against a step that is planned
+// for requests which end too late.
+TEST_CASE("a load step is planned for few servers, and the ramp waits for its results")
+{
+  const shift_options options;
+  const auto planned = [&options](std::size_t aServers, int aResults) {
+    shift running = MakeShift();
+    running.mProgress = shift_progress{ .mOrderId = 5, .mCanaryShare = 0.03 };
+    RecordMany(running, false, "", aResults, 0);
+    const double future = 360.0 / static_cast<double>(aServers);
+    RecordUsualLoads(running, options, { .mFuture = future, .mNewServers = aServers },
+                     At(running, 0.4));
+    return running;
+  };
+  CHECK(PlannedLoadStep(planned(45, 6000), options).mShare == 0);
+  CHECK(PlannedLoadStep(planned(3, 100), options).mShare == 0);
+  shift running = planned(3, 6000);
+  CHECK(PhaseAt(running, 0.45) == shift_phase::Running);
+  running.mProgress->mLoadStep = PlannedLoadStep(running, options);
+  CHECK(running.mProgress->mLoadStep->mShare == doctest::Approx(0.4));
+  RecordMany(running, true, "new-1", 20, 0);
+  RecordMany(running, true, "new-2", 20, 0);
+  for (int i = 0; i < 6; ++i) {
+    RecordLoad(running, 4, { .mFuture = 120 });
+  }
+  const exposure_schedule schedule = ScheduleOf(running);
+  CHECK_FALSE(PhaseAt(running, 0.45).has_value());
+  CHECK_FALSE(PhaseAt(running, schedule.mRampStart + 0.001).has_value());
+  CHECK(PhaseAt(running, schedule.mSuccess + 0.001) == shift_phase::RolledBack);
+  for (int i = 0; i < 6; ++i) {
+    RecordLoad(running, 110, { .mFuture = 120 });
+  }
+  CHECK(PhaseAt(running, schedule.mRampStart + 0.001) == shift_phase::Passed);
+}
+
 // Guards against loads from before all servers of the new version are listed: with one of them, the
 // load after success seems to be that of the whole service.
 TEST_CASE("usual loads are recorded from the start of the canary on")
