--- a/src/rollout/loaded_canary_test.cpp
+++ b/src/rollout/loaded_canary_test.cpp
@@ -77,6 +77,10 @@
     running.mProgress = shift_progress{ .mOrderId = aSeed };
     running.mProgress->mCanaryShare =
       PlannedCanaryShare(aDay.mLength, 2 * aDay.mNewServers, aDay.mNewServers, mOptions.mSchedule);
+    if (!aDay.mHasLoadStep) {
+      running.mProgress->mCanaryShare = ShareForWholeServers(
+        CanaryShareFor(2 * aDay.mNewServers, mOptions.mSchedule), aDay.mNewServers);
+    }
     mActing = running;
     for (std::size_t i = 0; i < aDay.mNewServers; ++i) {
       mServers.push_back({ .mId = server_id(std::to_string(i)) });
@@ -349,6 +353,9 @@
       }
     }
   }
+  CHECK(SimulateSeeds(
+          { .mNewServers = 3, .mFailsAbove = 0.8, .mHasLoadStep = false, .mDelay = 400ms }, kSeeds)
+          .mSucceeded >= kSeeds / 2);
 }
 
 namespace {
