--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -1,5 +1,7 @@
 #include "rollout/shift.h"
 
+#include "rollout/version_results.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -8,206 +10,6 @@
 
 namespace {
 
-/// Returns the probability of at least `aHits` successes in `aTrials` trials with probability
-/// `aRate` each.
-double BinomialTail(std::uint64_t aTrials, std::uint64_t aHits, double aRate)
-{
-  double logTerm = static_cast<double>(aTrials) * std::log1p(-aRate);
-  double below = 0;
-  for (std::uint64_t k = 0; k < aHits; ++k) {
-    below += std::exp(logTerm);
-    logTerm += std::log(static_cast<double>(aTrials - k)) - std::log(static_cast<double>(k + 1)) +
-               std::log(aRate) - std::log1p(-aRate);
-  }
-  return std::max(0.0, 1 - below);
-}
-
-/// Trials of one kind and how many of them went wrong.
-struct tally
-{
-  std::uint64_t mGood = 0;
-  std::uint64_t mBad = 0;
-
-  std::uint64_t Trials() const { return mGood + mBad; }
-};
-
-tally Failures(const shift_counts& aCounts)
-{
-  return { .mGood = aCounts.mGood, .mBad = aCounts.mBad };
-}
-
-tally SlowAnswers(const shift_counts& aCounts)
-{
-  return { .mGood = aCounts.mOnPace, .mBad = aCounts.mSlow };
-}
-
-struct version_counts
-{
-  shift_counts mOld;
-  shift_counts mNew;
-  std::map<server_id, shift_counts> mNewByServer;
-};
-
-void AddCounts(shift_counts& aTo, const shift_counts& aFrom)
-{
-  aTo.mGood += aFrom.mGood;
-  aTo.mBad += aFrom.mBad;
-  aTo.mOnPace += aFrom.mOnPace;
-  aTo.mSlow += aFrom.mSlow;
-}
-
-void AddResults(std::map<std::string, version_counts>& aByRoute, const shift_results& aResults)
-{
-  for (const auto& [key, result] : aResults) {
-    // The entry with an empty name sums all routes.
-    for (const std::string& route : { key.mRoute, std::string() }) {
-      version_counts& routeCounts = aByRoute[route];
-      AddCounts(key.mIsNew ? routeCounts.mNew : routeCounts.mOld, result);
-      if (key.mIsNew) {
-        AddCounts(routeCounts.mNewByServer[key.mServer], result);
-      }
-    }
-  }
-}
-
-/// With fewer results of the old version, its rate is too uncertain to compare with.
-constexpr std::uint64_t kMinOldResults = 30;
-
-/// The rate above which a version is worse than the old one.
-double ToleratedRate(const tally& aOld, double aFloor, double aFactor)
-{
-  const double oldRate =
-    (static_cast<double>(aOld.mBad) + 0.5) / (static_cast<double>(aOld.Trials()) + 1);
-  const double tolerated = aOld.Trials() >= kMinOldResults ? oldRate * aFactor : 0;
-  return std::clamp(tolerated, aFloor, 0.9);
-}
-
-bool IsAbove(const tally& aTrials, double aRate, double aSignificance)
-{
-  return aTrials.mBad > 0 && BinomialTail(aTrials.Trials(), aTrials.mBad, aRate) < aSignificance;
-}
-
-bool FailsMore(const version_counts& aCounts, const shift_options& aOptions, double aSignificance)
-{
-  const double rate =
-    ToleratedRate(Failures(aCounts.mOld), aOptions.mBadRateFloor, aOptions.mBadRateFactor);
-  return IsAbove(Failures(aCounts.mNew), rate, aSignificance);
-}
-
-/// Servers of the new version by the pace of most of their answers.
-struct server_paces
-{
-  std::size_t mJudged = 0;
-  std::size_t mSlow = 0; ///< more answers are slow than are not
-};
-
-server_paces CountServersByPace(const version_counts& aCounts)
-{
-  server_paces result;
-  for (const auto& [server, counts] : aCounts.mNewByServer) {
-    result.mJudged += counts.mOnPace + counts.mSlow > 0 ? 1 : 0;
-    result.mSlow += counts.mSlow > counts.mOnPace ? 1 : 0;
-  }
-  return result;
-}
-
-/// Returns the new version's answers by pace without those of the server with the most slow ones.
-tally PaceWithoutSlowestServer(const version_counts& aCounts)
-{
-  tally slowest;
-  for (const auto& [server, counts] : aCounts.mNewByServer) {
-    if (counts.mSlow > slowest.mBad) {
-      slowest = SlowAnswers(counts);
-    }
-  }
-  return { .mGood = aCounts.mNew.mOnPace - slowest.mGood,
-           .mBad = aCounts.mNew.mSlow - slowest.mBad };
-}
-
-/// Whether nearly all answers of nearly all servers are slow. A single slow machine does not
-/// explain that, so no server is left out and few results suffice. Only for decisions that are
-/// taken once: repeated with each result, the test would reject good versions.
-bool IsSlowEverywhere(const version_counts& aCounts, const shift_options& aOptions,
-                      double aSignificance)
-{
-  const tally answers = SlowAnswers(aCounts.mNew);
-  const server_paces servers = CountServersByPace(aCounts);
-  const auto isNearlyAll = [&aOptions](std::uint64_t aPart, std::uint64_t aAll) {
-    return static_cast<double>(aPart) >= aOptions.mSlowEverywhereShare * static_cast<double>(aAll);
-  };
-  const tally old = SlowAnswers(aCounts.mOld);
-  return old.Trials() >= kMinOldResults && answers.Trials() >= aOptions.mMinSlowEverywhere &&
-         servers.mSlow >= 2 && isNearlyAll(servers.mSlow, servers.mJudged) &&
-         isNearlyAll(answers.mBad, answers.Trials()) &&
-         IsAbove(answers, ToleratedRate(old, aOptions.mSlowRateFloor, 1), aSignificance);
-}
-
-bool IsSlower(const version_counts& aCounts, const shift_options& aOptions, double aSignificance)
-{
-  if (SlowAnswers(aCounts.mNew).Trials() < aOptions.mMinPaceResults) {
-    return false;
-  }
-  // Some servers may be slow from causes of their own.
-  const server_paces servers = CountServersByPace(aCounts);
-  const double rate =
-    ToleratedRate(SlowAnswers(aCounts.mOld), aOptions.mSlowRateFloor, aOptions.mSlowRateFactor);
-  return 2 * servers.mSlow >= servers.mJudged &&
-         IsAbove(PaceWithoutSlowestServer(aCounts), rate, aSignificance);
-}
-
-/// Returns the new version's failures without those of the server with the most of them.
-tally FailuresWithoutWorstServer(const version_counts& aCounts)
-{
-  tally worst;
-  for (const auto& [server, result] : aCounts.mNewByServer) {
-    if (result.mBad > worst.mBad) {
-      worst = Failures(result);
-    }
-  }
-  return { .mGood = aCounts.mNew.mGood - worst.mGood, .mBad = aCounts.mNew.mBad - worst.mBad };
-}
-
-bool IsProvenWorse(const version_counts& aCounts, const shift_options& aOptions)
-{
-  const tally elsewhere = FailuresWithoutWorstServer(aCounts);
-  const bool fails = FailsMore(aCounts, aOptions, aOptions.mHaltSignificance) &&
-                     (elsewhere.mBad >= 2 || (elsewhere.Trials() < aOptions.mMinResults &&
-                                              aCounts.mNew.mBad >= aOptions.mConclusiveFailures));
-  return fails || IsSlower(aCounts, aOptions, aOptions.mHaltSignificance);
-}
-
-/// Sums the known results of all instances by route; the entry with an empty name sums all routes.
-std::map<std::string, version_counts> PoolResults(const shift& aShift)
-{
-  std::map<std::string, version_counts> byRoute;
-  AddResults(byRoute, aShift.mOwnResults);
-  for (const auto& [instance, results] : aShift.mPeerResults) {
-    AddResults(byRoute, results);
-  }
-  return byRoute;
-}
-
-/// Returns whether the results on a route suggest, but need not prove, that the version is bad.
-bool IsSuspicious(const version_counts& aCounts, const shift_options& aOptions)
-{
-  const tally elsewhere = FailuresWithoutWorstServer(aCounts);
-  const bool isSingleServerFault =
-    elsewhere.mBad == 0 && elsewhere.mGood >= aOptions.mMinRouteResults;
-  return (!isSingleServerFault && FailsMore(aCounts, aOptions, aOptions.mRollBackSignificance)) ||
-         IsSlower(aCounts, aOptions, aOptions.mSlowRollBackSignificance);
-}
-
-bool IsSuspicious(const std::map<std::string, version_counts>& aByRoute,
-                  const shift_options& aOptions)
-{
-  const auto all = aByRoute.find("");
-  return (all != aByRoute.end() &&
-          IsSlowEverywhere(all->second, aOptions, aOptions.mSlowRollBackSignificance)) ||
-         std::any_of(aByRoute.begin(), aByRoute.end(), [&aOptions](const auto& aEntry) {
-           return IsSuspicious(aEntry.second, aOptions);
-         });
-}
-
 double FractionOf(duration aTime, const shift& aShift)
 {
   const double length =
@@ -235,13 +37,45 @@
          Failures(all->second.mNew).Trials() < aOptions.mMinResults;
 }
 
+/// Whether the new version was judged only at loads below a share of the one that it will have.
+bool IsJudgedBelow(const shift& aShift, const shift_options& aOptions, double aShare)
+{
+  return JudgedLoadShare(aShift, aOptions).value_or(1) < aShare;
+}
+
+/// Time, as a fraction of the duration, from a rise of the load to the results that show it.
+double JudgementTime(const shift& aShift, const shift_options& aOptions)
+{
+  return FractionOf(aShift.mUsualTime + aOptions.mResultDelay, aShift);
+}
+
+/// Whether the plan of the shift can show the future load. If it can't, as on few servers in a
+/// short roll-out, the load does not hold up a good version.
+bool CanSeeLoad(const shift& aShift, const shift_options& aOptions)
+{
+  const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
+  const std::size_t servers = aShift.mUsualLoads.mNewServers;
+  // Twice the load that must be seen, as the requests in flight vary.
+  return servers == 0 ||
+         schedule.mCanaryShare * static_cast<double>(servers) >= 2 * aOptions.mLeastJudgedLoad ||
+         schedule.mSuccess - schedule.mLoadStart >= JudgementTime(aShift, aOptions);
+}
+
+/// Whether the new version was judged only far below the load that it will have.
+bool IsLoadUnseen(const shift& aShift, const shift_options& aOptions)
+{
+  return IsJudgedBelow(aShift, aOptions, aOptions.mLeastJudgedLoad) && CanSeeLoad(aShift, aOptions);
+}
+
 /// The phase after the canary, shortly before the ramp or later.
 std::optional<shift_phase> PhaseAfterCanary(const shift& aShift, const shift_options& aOptions,
-                                            bool aIsRampDue)
+                                            double aElapsed)
 {
+  const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
   const auto byRoute = PoolResults(aShift);
   const bool canPass =
     !byRoute.empty() &&
+    !(HasLoadStep(schedule) && IsJudgedBelow(aShift, aOptions, aOptions.mLoadedFrom)) &&
     std::all_of(byRoute.begin(), byRoute.end(), [&aOptions](const auto& aEntry) {
       const version_counts& routeCounts = aEntry.second;
       return Failures(routeCounts.mNew).Trials() >= aOptions.mMinRouteResults &&
@@ -252,18 +86,58 @@
   if (canPass) {
     return shift_phase::Passed;
   }
-  if (!aIsRampDue) {
+  if (aElapsed < schedule.mRampStart) {
     return std::nullopt;
   }
-  return IsUnknown(byRoute, aShift, aOptions) || IsSuspicious(byRoute, aOptions)
-           ? shift_phase::RolledBack
-           : shift_phase::Passed;
+  if (IsUnknown(byRoute, aShift, aOptions) || IsSuspicious(byRoute, aOptions)) {
+    return shift_phase::RolledBack;
+  }
+  if (HasLoadStep(schedule) && IsLoadUnseen(aShift, aOptions)) {
+    return aElapsed < schedule.mSuccess ? std::nullopt : std::optional(shift_phase::RolledBack);
+  }
+  return shift_phase::Passed;
 }
 
-/// Whether the new version was judged only far below the load that it will have.
-bool IsLoadUnseen(const shift& aShift, const shift_options& aOptions)
+/// From when on a shift may pass. All instances should know of it at the start of the ramp, but
+/// most of a load step has to be seen.
+double PassFrom(const shift& aShift, const shift_options& aOptions)
+{
+  const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
+  const double lead = FractionOf(aOptions.mPassLead, aShift);
+  const double step = schedule.mRampStart - schedule.mLoadStart;
+  return std::max(aOptions.mCanaryEnd,
+                  schedule.mRampStart - (HasLoadStep(schedule) ? std::min(lead, step / 4) : lead));
+}
+
+/// The server of the new version with the most results of those that do not fail; empty if none is
+/// known.
+server_id BestKnownServer(const shift& aShift, const shift_options& aOptions)
+{
+  const auto byRoute = PoolResults(aShift);
+  const auto all = byRoute.find("");
+  server_id best;
+  std::uint64_t most = 0;
+  if (all == byRoute.end()) {
+    return best;
+  }
+  const double rate =
+    ToleratedRate(Failures(all->second.mOld), aOptions.mBadRateFloor, aOptions.mBadRateFactor);
+  for (const auto& [server, counts] : all->second.mNewByServer) {
+    const tally results = Failures(counts);
+    if (results.Trials() > most && !IsAbove(results, rate, aOptions.mHoldSignificance)) {
+      best = server;
+      most = results.Trials();
+    }
+  }
+  return best;
+}
+
+/// Whether the load step has to be planned now, so that all instances know of it in time.
+bool IsLoadStepDue(const shift& aShift, const shift_options& aOptions, double aElapsed)
 {
-  return JudgedLoadShare(aShift, aOptions).value_or(1) < aOptions.mLeastJudgedLoad;
+  return !aShift.mProgress->mLoadStep &&
+         aElapsed >= aOptions.mCanaryEnd - FractionOf(aOptions.mPassLead, aShift) &&
+         PlannedLoadStep(aShift, aOptions).mShare > 0;
 }
 
 } // namespace
@@ -277,7 +151,38 @@
 {
   const double agreed = aShift.mProgress ? aShift.mProgress->mCanaryShare : 0;
   return PlanExposure(aShift.mOrder.mDuration,
-                      agreed > 0 ? agreed : MaxCanaryShare(aOptions.mSchedule), aOptions.mSchedule);
+                      agreed > 0 ? agreed : MaxCanaryShare(aOptions.mSchedule), aOptions.mSchedule,
+                      aShift.mProgress ? aShift.mProgress->mLoadStep.value_or(load_step{})
+                                       : load_step{});
+}
+
+load_step PlannedLoadStep(const shift& aShift, const shift_options& aOptions)
+{
+  const std::size_t servers = aShift.mUsualLoads.mNewServers;
+  const double canary = ScheduleOf(aShift, aOptions).mCanaryShare;
+  if (servers == 0 || canary * static_cast<double>(servers) >= 1) {
+    return {};
+  }
+  const duration needed = aShift.mUsualTime + aOptions.mResultDelay;
+  // The load rises during a third of this time. Some faults take longer to show.
+  const duration wanted = std::max(3 * needed, aShift.mOrder.mDuration / 50);
+  for (const double load : { aOptions.mSchedule.mStepLoad, 1.0 }) {
+    load_step step{ .mShare = LoadStepShare(servers, load, aOptions.mSchedule),
+                    .mLength = wanted,
+                    .mFirst = BestKnownServer(aShift, aOptions) };
+    const exposure_schedule planned =
+      PlanExposure(aShift.mOrder.mDuration, canary, aOptions.mSchedule, step);
+    if (HasLoadStep(planned) &&
+        planned.mRampStart - planned.mLoadStart >= FractionOf(needed, aShift)) {
+      return step;
+    }
+  }
+  return {};
+}
+
+bool IsSentUnderLoad(const shift& aShift, const shift_options& aOptions, time_point aSent)
+{
+  return ElapsedFraction(aShift, aSent) >= ScheduleOf(aShift, aOptions).mLoadStart;
 }
 
 double NewVersionShare(const shift& aShift, const shift_options& aOptions, time_point aNow)
@@ -294,7 +199,7 @@
 bool IsCanaryShare(const shift& aShift, const shift_options& aOptions, time_point aNow)
 {
   const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
-  return IsRunning(aShift) && ElapsedFraction(aShift, aNow) < schedule.mRampStart;
+  return IsRunning(aShift) && ElapsedFraction(aShift, aNow) < schedule.mLoadStart;
 }
 
 std::vector<std::uint64_t> SessionsToKeepOnOldVersion(const shift_options& aOptions,
@@ -398,6 +303,14 @@
   const double weight = usual.mFuture > 0 ? kWeight : 1;
   usual.mOld += weight * (aLoads.mOld - usual.mOld);
   usual.mFuture += weight * (aLoads.mFuture - usual.mFuture);
+  usual.mNewServers = aLoads.mNewServers;
+  // Little's law: the requests in flight are those that arrive while one is served.
+  const shift_totals totals = TotalsOf(aShift);
+  const std::uint64_t results = Failures(totals.mOld).Trials() + Failures(totals.mNew).Trials();
+  const double inFlight = usual.mFuture * static_cast<double>(usual.mNewServers);
+  const double arrived = static_cast<double>(results) + inFlight;
+  aShift.mUsualTime = std::chrono::duration_cast<duration>((aNow - aShift.mStartedAt) *
+                                                           (inFlight / std::max(1.0, arrived)));
 }
 
 void MergeLoads(shift& aShift, const std::string& aInstance, const load_counts& aLoads)
@@ -455,11 +368,14 @@
   const double elapsed = ElapsedFraction(aShift, aNow);
   const exposure_schedule schedule = ScheduleOf(aShift, aOptions);
   if (phase == shift_phase::Running) {
-    const double decideFrom =
-      std::max(aOptions.mCanaryEnd, schedule.mRampStart - FractionOf(aOptions.mPassLead, aShift));
-    return aScope == evidence_scope::Pooled && elapsed >= decideFrom
-             ? PhaseAfterCanary(aShift, aOptions, elapsed >= schedule.mRampStart)
-             : std::nullopt;
+    if (aScope != evidence_scope::Pooled) {
+      return std::nullopt;
+    }
+    if (IsLoadStepDue(aShift, aOptions, elapsed)) {
+      return shift_phase::Running;
+    }
+    return elapsed >= PassFrom(aShift, aOptions) ? PhaseAfterCanary(aShift, aOptions, elapsed)
+                                                 : std::nullopt;
   }
   // Collectors decide first; the other instances act only if no collector has done so.
   const double settle = 1 - schedule.mSuccess;
