Mend what the review of the new parts found

A developer who had written none of the parts reviewed them and sent tests that failed. Mended, with those tests:

- A report of roll-out results with negative or absurd counts is refused.
A count of -1 was read as 2^64 - 1, and the decision loops over counts.
- An instance alone does not take the load of a roll-out for one that can't be seen: it knows the requests of all instances, but only its own results.
- A load step whose time is over is not planned any more, and a server with 6 to 11 results before the step counts in it.
- Time-outs of a new version are no more recorded as waits than its answers.
- A call of a route without an answer yet does not release all held calls.
- One caller with a distant deadline does not make all others count as returning ones for good, and a long one overflows no time.
- A party that waits for the first time has its turn behind those before it, so that callers without a session don't starve sessions.
- Plain calls look for places only if a server states some.

--- a/src/gateway/waiting_room.cpp
+++ b/src/gateway/waiting_room.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+/// Bounds the deadlines of callers in the order of a room. Longer ones would overflow a time.
+constexpr duration kMostTimeLeft = std::chrono::hours(1);
 /// For how long a server that rejected a request as full is taken to have no place. News of other
 /// instances' rejections are up to 0.4 s old with 90 instances.
 constexpr duration kFullMemory = 500ms;
@@ -98,7 +100,9 @@
                            duration aTimeLeft, time_point aNow)
 {
   duration& full = aRoom.mFullTimes[aRoute];
-  full = std::max(full, aTimeLeft);
+  // A single caller with a very long deadline must not make all others seem to come back.
+  constexpr int kForgetting = 4;
+  full = std::max(aTimeLeft, full - (full - aTimeLeft) / kForgetting);
   if (aTimeLeft >= full || aRoom.mPace.mPerSecond <= 0) {
     return aArrived + full;
   }
@@ -232,6 +236,14 @@
                        .mInstances = std::max<std::size_t>(1, aState.mInstances.size()) } };
 }
 
+/// Whether a server of the service states its places. Without any nothing is held.
+bool AreAnyPlacesStated(const gateway_state& aState, const service_id& aService)
+{
+  const auto& servers = backends::ServersOf(aState.mFleet, aService);
+  return std::any_of(servers.begin(), servers.end(),
+                     [](const auto& aServer) { return aServer->mAnnounced.mPlaces.has_value(); });
+}
+
 /// Name of the room. The versions of a roll-out have servers of their own, and so have regions.
 std::string RoomNameOf(const call& aCall)
 {
@@ -288,17 +300,19 @@
                           .mDeadline = aCall.mDeadline,
                           .mAnswerTime = aBasis.mAnswerTime };
   const bool hasOwnUrgency = aCall.mAccount != nullptr && aCall.mAccount->mUrgency;
-  return { .mId = aId,
-           .mUrgency =
-             hasOwnUrgency ? aCall.mAccount->mUrgency->Value() : aCall.mRoute->mUrgency.Value(),
-           // The route's timeout starts anew with each repeat, the caller's own deadline does not.
-           .mDeadline = DeadlineInOrder(
-             aRoom, route, arrived, aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout), aNow),
-           .mLatest = std::max(
-             aCall.mRuns > 0 ? times.mDeadline - times.mAnswerTime : LatestSend(times), aNow),
-           .mParties = { StableHash(account), route,
-                         StableHash(aCall.mHeader.mSession.value_or(aCall.mHeader.mAttempt)) },
-           .mBytes = aCall.mRequest->mBody.size() };
+  return {
+    .mId = aId,
+    .mUrgency = hasOwnUrgency ? aCall.mAccount->mUrgency->Value() : aCall.mRoute->mUrgency.Value(),
+    // The route's timeout starts anew with each repeat, the caller's own deadline does not.
+    .mDeadline = DeadlineInOrder(
+      aRoom, route, arrived,
+      std::min(aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout), kMostTimeLeft), aNow),
+    .mLatest =
+      std::max(aCall.mRuns > 0 ? times.mDeadline - times.mAnswerTime : LatestSend(times), aNow),
+    .mParties = { StableHash(account), route,
+                  StableHash(aCall.mHeader.mSession.value_or(aCall.mHeader.mAttempt)) },
+    .mBytes = aCall.mRequest->mBody.size()
+  };
 }
 
 const char* ReasonOf(const waiting_call& aWaiting, const call& aCall)
@@ -357,6 +371,9 @@
 net::task<std::optional<refusal>> WaitForPlace(gateway_state& aState, call& aCall,
                                                attempt_result aLast)
 {
+  if (!AreAnyPlacesStated(aState, aCall.mService)) {
+    co_return std::nullopt;
+  }
   const time_point now = net::Now();
   room_look look = LookAtPlaces(aState, aCall, now);
   const std::shared_ptr<waiting_room> room = RoomOf(aState, aCall);
@@ -400,9 +417,9 @@
     }
     co_return std::nullopt;
   }
-  const retry_outlook outlook{ .mTimeLeft =
-                                 aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout) -
-                                 (end - aCall.mRequest->mArrived),
+  const duration left =
+    aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout) - (end - aCall.mRequest->mArrived);
+  const retry_outlook outlook{ .mTimeLeft = left,
                                .mAnswerTime = look.mBasis.mAnswerTime,
                                .mOpensIn = PromiseRoom(*room, look.mView, end) };
   const double point = std::uniform_real_distribution<double>()(aState.mRandom);
@@ -416,7 +433,8 @@
 void RecordPlace(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome)
 {
   if (aOutcome.mAttempt == nullptr ||
-      (aOutcome.mResult != attempt_result::NotRun && aOutcome.mResult != attempt_result::Success)) {
+      (aOutcome.mResult != attempt_result::NotRun && aOutcome.mResult != attempt_result::Success) ||
+      !AreAnyPlacesStated(aState, aCall.mService)) {
     return;
   }
   const time_point now = net::Now();
--- a/src/gateway/waiting_room.h
+++ b/src/gateway/waiting_room.h
@@ -21,7 +21,8 @@
   overload::send_pace mPace;
   time_point mPromisedUntil{}; ///< the places until then are promised to callers who come back
   time_point mNextReturn{};    ///< when a caller who comes back may go before new ones again
-  /// Longest time left of a caller, by hash of the route: less is left to those who come back.
+  /// Time left of a caller who comes for the first time, by hash of the route: the longest one seen
+  /// lately. Less is left to those who come back.
   std::unordered_map<std::uint64_t, duration> mFullTimes;
   overload::waiting_id mLastId = 0;
   std::map<overload::waiting_id, waiting_call*> mCalls; ///< owned by the calls
--- a/src/gateway/work_check.cpp
+++ b/src/gateway/work_check.cpp
@@ -248,7 +248,11 @@
     aOutcome.mReadFailure = failure;
     if (failure == net::asio::error::timed_out) {
       aOutcome.mResult = attempt_result::TimedOut;
-      RecordWork(aState, aCall, aOutcome.mWork, net::Now() - aSending, true);
+      // Successes of a new version aren't recorded either: with one of the two alone, the waits
+      // would seem longer or shorter than they are.
+      if (!aOutcome.mAttempt->IsNewVersion()) {
+        RecordWork(aState, aCall, aOutcome.mWork, net::Now() - aSending, true);
+      }
     }
   }
   co_return failure;
--- a/src/overload/send_pace.cpp
+++ b/src/overload/send_pace.cpp
@@ -67,8 +67,8 @@
 void Observe(send_pace& aPace, const place_view& aView, const pace_basis& aBasis, time_point aNow)
 {
   const double even = EvenPart(aView, aBasis);
+  // A route without an answer yet knows no time of one, which says nothing about the places.
   if (even <= 0) {
-    aPace.mTakenAt = {};
     return;
   }
   const bool wasTaken = aPace.mTakenAt != time_point{} && aNow - aPace.mTakenAt <= kTakenMemory;
@@ -123,8 +123,7 @@
 
 void OnAnswered(send_pace& aPace, const place_view& aView, const pace_basis& aBasis)
 {
-  if (aPace.mPerSecond > 0) {
-    const double even = EvenPart(aView, aBasis);
+  if (const double even = EvenPart(aView, aBasis); even > 0 && aPace.mPerSecond > 0) {
     aPace.mPerSecond = std::min(aPace.mPerSecond + kRaise * even * StepOf(even, aBasis),
                                 kMostPart * std::max(even, aPace.mRecentSends));
   }
--- a/src/overload/waiting_queue.cpp
+++ b/src/overload/waiting_queue.cpp
@@ -32,7 +32,7 @@
     ranked_request ranked{ .mRequest = &request };
     for (std::size_t i = 0; i < kWaitingParties; ++i) {
       const auto served = aQueue.mServed[i].find(request.mParties[i]);
-      ranked.mServed[i] = served == aQueue.mServed[i].end() ? 0 : served->second;
+      ranked.mServed[i] = served == aQueue.mServed[i].end() ? request.mLetGoBefore : served->second;
     }
     result.push_back(ranked);
   }
@@ -124,6 +124,7 @@
     Remove(aQueue, least.mId);
   }
   aQueue.mRequests.push_back(aRequest);
+  aQueue.mRequests.back().mLetGoBefore = aQueue.mLetGo;
   aQueue.mBytes += aRequest.mBytes;
   return refused;
 }
--- a/src/overload/waiting_queue.h
+++ b/src/overload/waiting_queue.h
@@ -32,6 +32,7 @@
   time_point mLatest{};   ///< then it is too late to be sent
   std::array<std::uint64_t, kWaitingParties> mParties{}; ///< hashes, by `waiting_party`
   std::size_t mBytes = 0;
+  std::uint64_t mLetGoBefore = 0; ///< set by `Insert`: requests let go before it came
 };
 
 /// Why a request does not wait, or waits no longer.
--- a/src/overload/waiting_queue_test.cpp
+++ b/src/overload/waiting_queue_test.cpp
@@ -173,3 +173,29 @@
   CHECK(pace.mPerSecond > 0);
   CHECK(NextSendAt(pace, kStart) < kStart + 10s);
 }
+
+// Guards against sessions that are starved by callers without a session, each of which counts as a
+// session that was never served.
+TEST_CASE("a session gets its turns among callers without one")
+{
+  waiting_queue queue;
+  waiting_id last = 0;
+  const auto insert = [&queue, &last](int aUrgency, std::uint64_t aSession) {
+    (void)Insert(queue, { .mId = ++last, .mUrgency = aUrgency, .mParties = { 1, 1, aSession } });
+    return last;
+  };
+  constexpr std::uint64_t kSession = 7;
+  waiting_id ofSession = insert(9, kSession);
+  int served = 0;
+  for (int i = 0; i < 1200; ++i) {
+    while (queue.mRequests.size() < 5) {
+      insert(0, 1000 + last);
+    }
+    if (TakeNext(queue) == ofSession) {
+      ++served;
+      ofSession = insert(9, kSession);
+    }
+  }
+  // Of 100 session turns, at least one for each of the five that wait.
+  CHECK(served >= 20);
+}
--- a/src/overload/work_admission_test.cpp
+++ b/src/overload/work_admission_test.cpp
@@ -179,3 +179,16 @@
   CHECK(IsBeyondTime(ErrorOf(3), 4000, 1s, 3s, kNow));
   CHECK_FALSE(IsBeyondTime({}, 4000, 1s, 3s, kNow));
 }
+
+// Guards against refusals of nearly all requests for 10 s, because successes at a new version are
+// not recorded and time-outs are.
+TEST_CASE("time-outs alone do not tell how long requests take at least")
+{
+  wait_error error;
+  const time_point now = time_point(100s);
+  for (const duration seen : { 4000ms, 4000ms, 4000ms, 8000ms }) {
+    REQUIRE(RecordSeenWait(error, 100, seen, true, now));
+  }
+  const work_ahead ahead{ .mIsKnown = true, .mWaitMs = 100, .mServers = 2 };
+  CHECK(JudgeWork(error, ahead, 50, 6s, now).mVerdict == work_verdict::Admitted);
+}
--- a/src/rollout/results_message.cpp
+++ b/src/rollout/results_message.cpp
@@ -25,6 +25,19 @@
   }.dump();
 }
 
+namespace {
+
+/// More results of one server than this in a roll-out are an error of the sender. The decisions
+/// take time in proportion to the counts.
+constexpr std::uint64_t kMaxCount = 10'000'000;
+
+bool IsCount(const json& aValue)
+{
+  return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= kMaxCount;
+}
+
+} // namespace
+
 results_report DecodeReport(std::string_view aText)
 {
   try {
@@ -38,6 +51,11 @@
                             .mRoute = entry.at(1).get<std::string>(),
                             .mServer = server_id(entry.at(2).get<std::string>()),
                             .mIsLoaded = entry.size() > 7 && entry.at(7).get<bool>() };
+      if (!std::all_of(entry.begin() + 3, entry.begin() + std::min<std::ptrdiff_t>(7, entry.size()),
+                       IsCount)) {
+        throw error(error_kind::InvalidInput, "results message of a peer has invalid counts",
+                    "check that all instances run the same release");
+      }
       shift_counts& counts = report.mResults[key];
       counts = { .mGood = entry.at(3).get<std::uint64_t>(),
                  .mBad = entry.at(4).get<std::uint64_t>() };
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -135,9 +135,16 @@
 /// Whether the load step has to be planned now, so that all instances know of it in time.
 bool IsLoadStepDue(const shift& aShift, const shift_options& aOptions, double aElapsed)
 {
-  return !aShift.mProgress->mLoadStep &&
-         aElapsed >= aOptions.mCanaryEnd - FractionOf(aOptions.mPassLead, aShift) &&
-         PlannedLoadStep(aShift, aOptions).mShare > 0;
+  if (aShift.mProgress->mLoadStep ||
+      aElapsed < aOptions.mCanaryEnd - FractionOf(aOptions.mPassLead, aShift)) {
+    return false;
+  }
+  // A step that begins late would still run when the shift has to be decided.
+  const load_step step = PlannedLoadStep(aShift, aOptions);
+  return step.mShare > 0 &&
+         aElapsed < PlanExposure(aShift.mOrder.mDuration, ScheduleOf(aShift, aOptions).mCanaryShare,
+                                 aOptions.mSchedule, step)
+                      .mLoadStart;
 }
 
 } // namespace
@@ -385,7 +392,12 @@
       (aScope == evidence_scope::Own && elapsed < ownFrom)) {
     return std::nullopt;
   }
-  if (!IsSuspicious(PoolResults(aShift), aOptions) && !IsLoadUnseen(aShift, aOptions)) {
+  // The usual time of a request follows from the results of all instances, which only collectors
+  // know. So others can't tell whether the load could be seen.
+  const bool isUnseen = aScope == evidence_scope::Own
+                          ? IsJudgedBelow(aShift, aOptions, aOptions.mLeastJudgedLoad)
+                          : IsLoadUnseen(aShift, aOptions);
+  if (!IsSuspicious(PoolResults(aShift), aOptions) && !isUnseen) {
     return shift_phase::Succeeded;
   }
   return aScope == evidence_scope::Pooled && elapsed >= lastCall
--- a/src/rollout/version_results.cpp
+++ b/src/rollout/version_results.cpp
@@ -189,7 +189,7 @@
     const tally all = Failures(aCounts.mNewByServer.at(server));
     const tally loaded = Failures(counts);
     const tally before{ .mGood = all.mGood - loaded.mGood, .mBad = all.mBad - loaded.mBad };
-    if (before.Trials() < aOptions.mMinRouteResults) {
+    if (before.Trials() < aOptions.mMinResults) {
       continue;
     }
     const double own =
