--- a/src/rollout/results_message.cpp
+++ b/src/rollout/results_message.cpp
@@ -51,7 +51,10 @@
                             .mRoute = entry.at(1).get<std::string>(),
                             .mServer = server_id(entry.at(2).get<std::string>()),
                             .mIsLoaded = entry.size() > 7 && entry.at(7).get<bool>() };
-      if (!std::all_of(entry.begin() + 3, entry.begin() + std::min<std::ptrdiff_t>(7, entry.size()),
+      constexpr std::ptrdiff_t kCountsFrom = 3;
+      constexpr std::ptrdiff_t kCountsTo = 7;
+      const auto size = static_cast<std::ptrdiff_t>(entry.size());
+      if (!std::all_of(entry.begin() + kCountsFrom, entry.begin() + std::min(kCountsTo, size),
                        IsCount)) {
         throw error(error_kind::InvalidInput, "results message of a peer has invalid counts",
                     "check that all instances run the same release");
