Decide early refusals and the condition on servers in one place each

Found by reading the change again. The waiting room and the check of escalations chose a server only to set the condition on servers, which drew random numbers and chose twice for each escalation; SetCondition does that alone, and a waiting call is not looked at on the side that it falls back to. The urgency of a call and the samples of a known latency were each written three and two times. Comments and two tests say what happens in the usual terms.

--- a/src/entry/caller_stream.h
+++ b/src/entry/caller_stream.h
@@ -28,7 +28,8 @@
   read_limits mLimits;
   duration mIdleTime = 5s;  ///< without a request
   duration mReadTime = 30s; ///< without a byte, and without room for one
-  /// Told of each request that is not read on, with the bytes of its header.
+  /// Called for each request that is refused before its body is read, with the bytes of its header
+  /// that have arrived.
   std::function<void(read_end, std::size_t)> mOnRefusal;
 };
 
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -98,7 +98,7 @@
   if (!aHistory.mIsIdempotent || attemptsLeft <= 1 || aHistory.mDelivered) {
     return left;
   }
-  if (aLatency.mSamples < kMinSamples) {
+  if (!IsKnown(aLatency)) {
     return left / attemptsLeft;
   }
   const duration least = aKind == routing::call_kind::Stream ? kMinStreamWait : kMinPlainWait;
@@ -119,6 +119,11 @@
          (!aWait.mIsReachable || aWait.mElsewhere->mCost < aWait.mWaited);
 }
 
+bool IsKnown(const latency_estimate& aLatency)
+{
+  return aLatency.mSamples >= kMinSamples;
+}
+
 void RecordLatency(latency_estimate& aLatency, duration aTime)
 {
   const double milliseconds = std::chrono::duration<double, std::milli>(aTime).count();
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -133,6 +133,9 @@
 /// dead. A wait that is overdue is expected to last as long again as it has lasted.
 bool MovesOn(const overdue_wait& aWait);
 
+/// Whether the estimate has samples enough to decide by it.
+bool IsKnown(const latency_estimate& aLatency);
+
 /// Updates the estimate with the time to an answer or first event.
 void RecordLatency(latency_estimate& aLatency, duration aTime);
 
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -4,6 +4,7 @@
 #include "base/digest.h"
 #include "gateway/answer_end.h"
 #include "gateway/crash_reports.h"
+#include "gateway/early_refusal.h"
 #include "gateway/server_choice.h"
 #include "gateway/server_message.h"
 #include "gateway/shift_results.h"
@@ -18,10 +19,7 @@
 
 namespace {
 
-constexpr duration kStartRetryAfter = 200ms; ///< an instance reads its configuration in less
-/// Retries reach other instances, which are not stopped at the same time.
-constexpr duration kStopRetryAfter = 20ms;
-constexpr const char* kStopTitle = "this instance stops";
+constexpr duration kStartRetryAfter = 200ms;       ///< an instance reads its configuration in less
 constexpr std::size_t kMaxAnswerBytes = 1U << 24U; ///< of an answer that is buffered
 
 /// A random number, uniform in [0, 1).
@@ -157,6 +155,12 @@
   }
 }
 
+int UrgencyOf(const call& aCall)
+{
+  return aCall.mAccount != nullptr && aCall.mAccount->mUrgency ? aCall.mAccount->mUrgency->Value()
+                                                               : aCall.mRoute->mUrgency.Value();
+}
+
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall)
 {
   std::string key = aCall.mRoute->mName;
@@ -327,9 +331,7 @@
                                                                 : std::nullopt,
                           .mModel = model,
                           .mLastEvent = aLastEvent,
-                          .mUrgency = aCall.mAccount != nullptr && aCall.mAccount->mUrgency
-                                        ? aCall.mAccount->mUrgency->Value()
-                                        : aCall.mRoute->mUrgency.Value() };
+                          .mUrgency = UrgencyOf(aCall) };
   auto message = MessageFor(aState, aCall, details);
   const attempt_history history = HistoryOf(aState, aCall);
   placement::RecordPrefill(aState.mPrefixCaches, announced.mId, demand, sending);
@@ -534,12 +536,9 @@
     co_await Refuse(aState, current, notConfigured);
     co_return;
   }
-  if (const auto& limit = aState.mOptions.mBounds.mRefuseAfter;
-      limit && net::Now() - aState.mConfirmedAt > *limit) {
-    const refusal stale{ .mTitle = "the configuration is not confirmed",
-                         .mRetryAfter = RetryAfterOutage(net::Now() - aState.mConfirmedAt - *limit,
-                                                         current.mHeader.mTimeLeft, Draw(aState)) };
-    co_await Refuse(aState, current, stale);
+  if (const auto unconfirmed =
+        RefusalIfUnconfirmed(aState, current.mHeader.mTimeLeft, Draw(aState), net::Now())) {
+    co_await Refuse(aState, current, *unconfirmed);
     co_return;
   }
   const routing::resolution found = routing::Resolve(
@@ -558,20 +557,14 @@
     arrived + std::min(current.mRoute->mTimeout,
                        current.mHeader.mTimeLeft.value_or(current.mRoute->mTimeout));
   current.mCaller->SetTimeLeft(current.mHeader.mTimeLeft.value_or(current.mRoute->mTimeout));
-  if (const duration left = aState.mStopsAt - arrived;
-      aState.mIsStopping && !IsAcceptedWhileStopping(current.mDeadline - arrived, left)) {
-    const refusal stopping{ .mTitle = kStopTitle, .mRetryAfter = kStopRetryAfter };
-    co_await Refuse(aState, current, stopping);
+  if (const auto stopping = RefusalIfStopping(aState, current.mDeadline - arrived, arrived)) {
+    co_await Refuse(aState, current, *stopping);
     co_return;
   }
   AssignService(current);
   current.mFingerprint = FingerprintOf(current);
-  if (IsQuarantined(aState, current)) {
-    // No Retry-After, because a retry would be refused as well.
-    const refusal quarantined{ .mTitle = IsRequestQuarantined(aState, current)
-                                           ? "the request crashes backend servers"
-                                           : "a part of the prompt crashes backend servers" };
-    co_await Refuse(aState, current, quarantined);
+  if (const auto quarantined = RefusalIfQuarantined(aState, current)) {
+    co_await Refuse(aState, current, *quarantined);
     co_return;
   }
   overload::OnRequest(*BudgetOf(aState, current.mService, net::Now()), net::Now());
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -162,6 +162,9 @@
 /// Forwards a request whose answer is a stream of events.
 net::task<> ForwardStream(gateway_state& aState, call& aCall);
 
+/// Urgency of the call: its account's, else its route's; 0 is the most urgent.
+int UrgencyOf(const call& aCall);
+
 /// Estimated latency of the call's route and model.
 latency_estimate& LatencyOf(gateway_state& aState, const call& aCall);
 
--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -3,6 +3,7 @@
 #include "backends/evidence.h"
 #include "base/digest.h"
 #include "gateway/crash_reports.h"
+#include "gateway/early_refusal.h"
 #include "placement/server_room.h"
 
 #include <algorithm>
@@ -122,19 +123,14 @@
 std::optional<refusal> RefusalBeforeChoice(const gateway_state& aState, const call& aCall,
                                            duration aTimeLeft, time_point aNow)
 {
-  if (const auto& limit = aState.mOptions.mBounds.mRefuseAfter;
-      limit && aNow - aState.mConfirmedAt > *limit) {
-    return refusal{ .mTitle = "the configuration is not confirmed" };
+  constexpr double kMiddle = 0.5; // of the times that callers are spread over
+  if (const auto refused = RefusalIfUnconfirmed(aState, aCall.mHeader.mTimeLeft, kMiddle, aNow)) {
+    return refused;
   }
-  if (aState.mIsStopping && !IsAcceptedWhileStopping(aTimeLeft, aState.mStopsAt - aNow)) {
-    return refusal{ .mTitle = "this instance stops" };
+  if (const auto refused = RefusalIfStopping(aState, aTimeLeft, aNow)) {
+    return refused;
   }
-  if (IsQuarantined(aState, aCall)) {
-    return refusal{ .mTitle = IsRequestQuarantined(aState, aCall)
-                                ? "quarantined: the request crashes backend servers"
-                                : "quarantined: a part of the prompt crashes backend servers" };
-  }
-  return std::nullopt;
+  return RefusalIfQuarantined(aState, aCall);
 }
 
 std::string ReasonOf(placement::no_choice aReason)
@@ -265,6 +261,7 @@
   if (const auto refused = RefusalBeforeChoice(aState, asked, result.mTimeLeft, aNow)) {
     result.mStatus = refused->mStatus;
     result.mReason = refused->mTitle;
+    result.mRetryAfter = refused->mRetryAfter;
     return result;
   }
   const state_guard guard(aState, asked.mSession);
--- a/src/gateway/explain_test.cpp
+++ b/src/gateway/explain_test.cpp
@@ -198,7 +198,7 @@
     service.mQuestion.mHeader.mParts = { { .mId = 7, .mTokens = 5 }, { .mId = 8, .mTokens = 5 } };
     service.mState.mCrashes.mQuarantined[quarantine::cause_key(7)] = { .mSince = net::Now(),
                                                                        .mTerm = 60s };
-    CHECK(service.Explain().mReason.starts_with("quarantined"));
+    CHECK(service.Explain().mReason == "a part of the prompt crashes backend servers");
   }
   SUBCASE("closed, with the time to come back")
   {
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -107,6 +107,20 @@
   return rollout::CanaryServers(aShift, aState.mOptions.mShift, std::move(listed), aNow);
 }
 
+void SetConditionOfSide(const gateway_state& aState, const call& aCall, placement::demand& aDemand,
+                        const rollout::shift* aShift, std::optional<rollout::version_side> aSide,
+                        time_point aNow)
+{
+  const std::vector<server_id> canary = aShift != nullptr && aSide == rollout::version_side::New
+                                          ? ServersInCanary(aState, aCall, *aShift, aNow)
+                                          : std::vector<server_id>();
+  aDemand.mIsAllowed = [&aState, &aCall, aShift, aSide, aNow, canary](const auto& aServer) {
+    return IsEligible(aState, aCall, aShift, aSide, aServer, aNow) &&
+           (canary.empty() ||
+            std::find(canary.begin(), canary.end(), aServer.mAnnounced.mId) != canary.end());
+  };
+}
+
 } // namespace
 
 server_rule RuleAgainst(const gateway_state& aState, const call& aCall,
@@ -129,19 +143,18 @@
                                                                 : server_rule::Version;
 }
 
+void SetCondition(gateway_state& aState, call& aCall, placement::demand& aDemand,
+                  const rollout::shift* aShift, time_point aNow)
+{
+  SetConditionOfSide(aState, aCall, aDemand, aShift, SideOf(aState, aCall, aShift, aNow), aNow);
+}
+
 placement::choice ChooseServer(gateway_state& aState, call& aCall, placement::demand& aDemand,
                                const rollout::shift* aShift, time_point aNow)
 {
   const auto side = SideOf(aState, aCall, aShift, aNow);
   const auto choose = [&](std::optional<rollout::version_side> aSide) {
-    const std::vector<server_id> canary = aShift != nullptr && aSide == rollout::version_side::New
-                                            ? ServersInCanary(aState, aCall, *aShift, aNow)
-                                            : std::vector<server_id>();
-    aDemand.mIsAllowed = [&aState, &aCall, aShift, aSide, aNow, canary](const auto& aServer) {
-      return IsEligible(aState, aCall, aShift, aSide, aServer, aNow) &&
-             (canary.empty() ||
-              std::find(canary.begin(), canary.end(), aServer.mAnnounced.mId) != canary.end());
-    };
+    SetConditionOfSide(aState, aCall, aDemand, aShift, aSide, aNow);
     return placement::Choose(aState.mFleet, aDemand, aState.mPrefixCaches,
                              aState.mOptions.mPlacement, aState.mRandom, aNow);
   };
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -39,6 +39,11 @@
                         const rollout::shift* aShift, std::optional<rollout::version_side> aSide,
                         const backends::backend_server& aServer, time_point aNow);
 
+/// Sets the demand's condition on servers: the rules for the call, and the version that the shift
+/// assigns to it.
+void SetCondition(gateway_state& aState, call& aCall, placement::demand& aDemand,
+                  const rollout::shift* aShift, time_point aNow);
+
 /// Chooses the server for an attempt, of the version that the shift assigns to the call. The other
 /// version is used if that one has no server, unless it is known to be bad.
 /// \param aDemand what the attempt needs; its condition on servers is set here
--- a/src/gateway/waiting_room.cpp
+++ b/src/gateway/waiting_room.cpp
@@ -229,8 +229,7 @@
 room_look LookAtPlaces(gateway_state& aState, call& aCall, time_point aNow)
 {
   placement::demand demand = DemandOf(aState, aCall);
-  // Sets the condition on servers, as it is for an attempt now.
-  (void)ChooseServer(aState, aCall, demand, ShiftOf(aState, aCall.mService), aNow);
+  SetCondition(aState, aCall, demand, ShiftOf(aState, aCall.mService), aNow);
   return { .mView = PlacesOf(aState.mFleet, demand, aNow),
            .mBasis = { .mAnswerTime = HistoryOf(aState, aCall).mExpected,
                        .mInstances = std::max<std::size_t>(1, aState.mInstances.size()) } };
@@ -299,20 +298,18 @@
                           .mTarget = aCall.mRoute->mTargetLatency,
                           .mDeadline = aCall.mDeadline,
                           .mAnswerTime = aBasis.mAnswerTime };
-  const bool hasOwnUrgency = aCall.mAccount != nullptr && aCall.mAccount->mUrgency;
-  return {
-    .mId = aId,
-    .mUrgency = hasOwnUrgency ? aCall.mAccount->mUrgency->Value() : aCall.mRoute->mUrgency.Value(),
-    // The route's timeout starts anew with each repeat, the caller's own deadline does not.
-    .mDeadline = DeadlineInOrder(
-      aRoom, route, arrived,
-      std::min(aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout), kMostTimeLeft), aNow),
-    .mLatest =
-      std::max(aCall.mRuns > 0 ? times.mDeadline - times.mAnswerTime : LatestSend(times), aNow),
-    .mParties = { StableHash(account), route,
-                  StableHash(aCall.mHeader.mSession.value_or(aCall.mHeader.mAttempt)) },
-    .mBytes = aCall.mRequest->mBody.size()
-  };
+  return { .mId = aId,
+           .mUrgency = UrgencyOf(aCall),
+           // The route's timeout starts anew with each repeat, the caller's own deadline does not.
+           .mDeadline = DeadlineInOrder(
+             aRoom, route, arrived,
+             std::min(aCall.mHeader.mTimeLeft.value_or(aCall.mRoute->mTimeout), kMostTimeLeft),
+             aNow),
+           .mLatest = std::max(
+             aCall.mRuns > 0 ? times.mDeadline - times.mAnswerTime : LatestSend(times), aNow),
+           .mParties = { StableHash(account), route,
+                         StableHash(aCall.mHeader.mSession.value_or(aCall.mHeader.mAttempt)) },
+           .mBytes = aCall.mRequest->mBody.size() };
 }
 
 const char* ReasonOf(const waiting_call& aWaiting, const call& aCall)
@@ -334,6 +331,7 @@
 {
   aWaiting.mTimer->expires_after(aTime);
   aCall.mPlaceTimer = aWaiting.mTimer;
+  // Whether the time is over or the timer was cancelled, the caller of this looks again.
   net::error_code ignoredCancel;
   co_await aWaiting.mTimer->async_wait(
     net::asio::redirect_error(net::asio::use_awaitable, ignoredCancel));
--- a/src/gateway/waiting_room.h
+++ b/src/gateway/waiting_room.h
@@ -53,10 +53,10 @@
 /// When the call has to be sent at the latest.
 time_point LatestSend(const call_times& aTimes);
 
-/// A caller's deadline for the order of the room. A caller who comes back has less time left than
-/// new ones and goes before them, at the rate at which callers are told to come back. Those above
-/// that rate go after new ones: if all callers repeat at once, none would be answered in time.
-/// \param aTimeLeft of the caller at its arrival
+/// The deadline that orders a caller in the room. A repeated request has less time left than a
+/// first one and is sent before it, up to the rate of the times given in Retry-After. Repeats above
+/// that rate are sent after first requests: if all callers repeat at once, none would be answered
+/// in time. \param aTimeLeft of the caller at its arrival
 time_point DeadlineInOrder(waiting_room& aRoom, std::uint64_t aRoute, time_point aArrived,
                            duration aTimeLeft, time_point aNow);
 
--- a/src/gateway/work_check.cpp
+++ b/src/gateway/work_check.cpp
@@ -9,19 +9,11 @@
 
 namespace {
 
-constexpr std::uint64_t kMinLatencySamples = 5; ///< until then a call's time counts as unknown
-
 bool IsStream(const call& aCall)
 {
   return aCall.mRoute->mKind == routing::call_kind::Stream;
 }
 
-int UrgencyOf(const call& aCall)
-{
-  return aCall.mAccount != nullptr && aCall.mAccount->mUrgency ? aCall.mAccount->mUrgency->Value()
-                                                               : aCall.mRoute->mUrgency.Value();
-}
-
 /// Engines serve urgent requests first, so the same work ahead means different waits.
 overload::wait_error& ErrorOf(gateway_state& aState, const call& aCall)
 {
@@ -34,7 +26,7 @@
 bool IsSpeedKnown(gateway_state& aState, const call& aCall, time_point aNow)
 {
   if (!IsStream(aCall)) {
-    return LatencyOf(aState, aCall).mSamples >= kMinLatencySamples;
+    return IsKnown(LatencyOf(aState, aCall));
   }
   const model_id model = ModelOf(aCall);
   const auto own = aState.mEngineSpeeds.find({ aCall.mService, model });
@@ -192,12 +184,11 @@
 
 bool MayBeginInTime(gateway_state& aState, call& aCall, time_point aNow)
 {
-  placement::demand demand = DemandOf(aState, aCall);
-  const placement::choice choice =
-    ChooseServer(aState, aCall, demand, ShiftOf(aState, aCall.mService), aNow);
-  if (choice.mServer == nullptr || !IsSpeedKnown(aState, aCall, aNow)) {
+  if (!IsSpeedKnown(aState, aCall, aNow)) {
     return true;
   }
+  placement::demand demand = DemandOf(aState, aCall);
+  SetCondition(aState, aCall, demand, ShiftOf(aState, aCall.mService), aNow);
   const outlook found = OutlookOf(aState, aCall, demand, aNow);
   const bool mayBegin = found.mDecision.mVerdict == overload::work_verdict::Admitted;
   if (!mayBegin) {
--- a/src/overload/waiting_queue.h
+++ b/src/overload/waiting_queue.h
@@ -65,8 +65,8 @@
 /// requests let go in each `kTurnEvery` x `kWaitingParties` x K.
 inline constexpr std::uint64_t kTurnEvery = 4;
 
-/// Adds a request. If the queue is full, the account with the most waiting requests gives up the
-/// one of its requests that is last in order; that may be the new one.
+/// Adds a request. If the queue is full, the last request in order of the account with the most
+/// waiting requests is removed; that may be the new one. Returns the removed one.
 std::optional<refused_request> Insert(waiting_queue& aQueue, const waiting_request& aRequest);
 
 /// Removes a request; returns whether it waited.
--- a/src/overload/work_admission.h
+++ b/src/overload/work_admission.h
@@ -103,13 +103,14 @@
 bool IsBeyondTime(const wait_error& aError, double aExpectedMs, duration aWaited,
                   duration aTimeLeft, time_point aNow);
 
-/// How fast the work ahead at one service shrinks, and which room refused callers were told of.
+/// How fast the work ahead at one service shrinks, and the time given in the last Retry-After.
 struct room_schedule
 {
   std::optional<double> mWaitMs; ///< at `mAt`
   time_point mAt{};
-  double mDrainRate = 0;  ///< ms of work ahead that vanish in each ms
-  time_point mNextFree{}; ///< until then all room is for callers that were told to come back
+  double mDrainRate = 0; ///< ms of work ahead that vanish in each ms
+  /// Time at which the next refused caller may retry; earlier ones were given to others.
+  time_point mNextFree{};
 };
 
 /// Records the work ahead at the best server.
--- a/src/overload/work_admission_test.cpp
+++ b/src/overload/work_admission_test.cpp
@@ -155,15 +155,16 @@
   CHECK(schedule.mDrainRate == doctest::Approx(2).epsilon(0.01));
   const time_point now = kNow + 2s;
   duration last{};
-  int told = 0;
+  int callers = 0; // refused, with a Retry-After
   while (const auto wait = RetryAfterWork(schedule, refused, 0, now)) {
     CHECK(*wait >= 990ms);
     CHECK(*wait <= 7900ms);
-    CHECK((told == 0 || *wait - last >= 199ms)); // 100 ms of one in twenty instances, ten servers
+    // A request takes 100 ms, and one of twenty instances has half of one of the ten servers.
+    CHECK((callers == 0 || *wait - last >= 199ms));
     last = *wait;
-    ++told;
+    ++callers;
   }
-  CHECK(told == 35);
+  CHECK(callers == 35);
   room_schedule closed;
   refused.mOpensIn = 3s;
   CHECK(RetryAfterWork(closed, refused, 0.5, now) == 3100ms);
--- a/src/rollout/exposure_schedule_test.cpp
+++ b/src/rollout/exposure_schedule_test.cpp
@@ -30,7 +30,7 @@
   }
 }
 
-// Guards against a load step that costs more than canary and ramp give up for it, and against one
+// Guards against a load step that takes the shift over its exposure bound, and against one
 // that moves sessions in the first half.
 TEST_CASE("a load step stays within the exposure bound and in the second half")
 {
