--- a/src/gateway/crash_reports.cpp
+++ b/src/gateway/crash_reports.cpp
@@ -50,6 +50,44 @@
            : quarantine::run_stage::Streaming;
 }
 
+const char* NameOf(unanswered_end aEnd)
+{
+  switch (aEnd) {
+    case unanswered_end::Broken:
+      return "broken";
+    case unanswered_end::TimedOut:
+      return "timed_out";
+    case unanswered_end::Moved:
+      return "moved";
+    case unanswered_end::Withdrawn:
+      return "withdrawn";
+    case unanswered_end::CallerLeft:
+      return "caller_left";
+  }
+  return "unknown";
+}
+
+const char* NameOf(quarantine::crash_effect aEffect)
+{
+  switch (aEffect) {
+    case quarantine::crash_effect::Known:
+      return "known";
+    case quarantine::crash_effect::Counted:
+      return "counted";
+    case quarantine::crash_effect::Merged:
+      return "merged";
+    case quarantine::crash_effect::PassedOver:
+      return "passed_over";
+    case quarantine::crash_effect::Answered:
+      return "answered_since";
+    case quarantine::crash_effect::Quarantined:
+      return "quarantined";
+    case quarantine::crash_effect::NoRequest:
+      return "no_request";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 std::vector<quarantine::cause_key> SharedParts(const call& aCall)
@@ -86,28 +124,62 @@
           quarantine::IsQuarantined(aState.mCrashes, SharedParts(aCall), net::Now()));
 }
 
-net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt& aAttempt)
+void ReportUnanswered(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
+                      unanswered_end aEnd)
+{
+  if (aOutcome.mAttempt == nullptr || IsCertainlyNotRun(aOutcome.mResult)) {
+    return;
+  }
+  aState.mMetrics.Count("tamarackweir_runs_unanswered_total", { { "end", NameOf(aEnd) } });
+  observe::event_line("run_unanswered")
+    .Text("request", aCall.mHeader.mAttempt)
+    .Text("server", aOutcome.mAttempt->Server().mAnnounced.mId.Value())
+    .Text("end", NameOf(aEnd))
+    .Text("fingerprint", ToHex({ aCall.mFingerprint }))
+    .Write();
+}
+
+void ReportEvidence(
+  gateway_state& aState,
+  const std::vector<std::pair<quarantine::cause_key, quarantine::crash_effect>>& aEvidence,
+  const char* aSource)
+{
+  for (const auto& [request, effect] : aEvidence) {
+    aState.mMetrics.Count("tamarackweir_crash_evidence_total", { { "effect", NameOf(effect) } });
+    observe::event_line("crash_evidence")
+      .Text("fingerprint", ToHex({ request }))
+      .Text("effect", NameOf(effect))
+      .Text("source", aSource)
+      .Write();
+  }
+}
+
+net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome)
 {
   const std::vector<quarantine::cause_key> parts = SharedParts(aCall);
   if (aCall.mIsWithdrawn || aCall.mCaller->IsGone()) {
+    ReportUnanswered(aState, aCall, aOutcome,
+                     aCall.mIsWithdrawn ? unanswered_end::Withdrawn : unanswered_end::CallerLeft);
     co_return;
   }
   const time_point broken = net::Now();
   const quarantine::run_stage stage = StageOf(aState, aCall, broken);
-  const backends::server_pointer& server = aAttempt.Pointer();
+  const backends::server_pointer& server = aOutcome.mAttempt->Pointer();
   if (co_await AcceptsConnections(server, aCall.mCaller->Executor())) {
+    ReportUnanswered(aState, aCall, aOutcome, unanswered_end::Broken);
     co_return;
   }
   aCall.mCrashes += stage == quarantine::run_stage::JustBegun ? 1 : 0;
   const std::uint64_t start = StableHash(server->mAnnounced.mId.Value(),
                                          static_cast<std::uint64_t>(server->mAnnounced.mStartId));
-  quarantine::RecordCrash(aState.mCrashes, { .mId = StableHash(aCall.mHeader.mAttempt, start),
-                                             .mServer = start,
-                                             .mStage = stage,
-                                             .mParts = parts,
-                                             .mRequest = aCall.mFingerprint,
-                                             .mAt = broken,
-                                             .mIsOwn = true });
+  const quarantine::crash_effect effect =
+    quarantine::RecordCrash(aState.mCrashes, { .mId = StableHash(aCall.mHeader.mAttempt, start),
+                                               .mServer = start,
+                                               .mStage = stage,
+                                               .mParts = parts,
+                                               .mRequest = aCall.mFingerprint,
+                                               .mAt = broken,
+                                               .mIsOwn = true });
   observe::event_line("server_crashed")
     .Text("request", aCall.mHeader.mAttempt)
     .Text("server", server->mAnnounced.mId.Value())
@@ -115,6 +187,7 @@
     .Text("fingerprint", ToHex({ aCall.mFingerprint }))
     .Text("parts", ToHex(parts))
     .Write();
+  ReportEvidence(aState, { { aCall.mFingerprint, effect } }, "own");
 }
 
 void RecordWholeAnswer(gateway_state& aState, const call& aCall)
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -3,6 +3,7 @@
 #include "gateway/call.h"
 #include "quarantine/crash_board.h"
 
+#include <utility>
 #include <vector>
 
 namespace tamarackweir::gateway {
@@ -22,11 +23,32 @@
 
 /// After the connection of an attempt broke: records a crash of its server, if the server no longer
 /// accepts connections.
-net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt& aAttempt);
+net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome);
 
 /// Records that the call got a complete answer, which clears it and the parts of its prompt.
 void RecordWholeAnswer(gateway_state& aState, const call& aCall);
 
+/// How a run ended whose server made no whole answer that is known here.
+enum class unanswered_end
+{
+  Broken,     ///< the connection broke, and the server accepts another one
+  TimedOut,   ///< nothing came until the deadline
+  Moved,      ///< the request went on at another server
+  Withdrawn,  ///< closed here: it was quarantined, or the instance stops
+  CallerLeft, ///< closed here
+};
+
+/// Logs and counts the end of a run whose server may yet crash under it. Does nothing for an
+/// attempt that did not reach its server.
+void ReportUnanswered(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
+                      unanswered_end aEnd);
+
+/// Logs and counts what crashes that other instances saw add to the evidence here.
+void ReportEvidence(
+  gateway_state& aState,
+  const std::vector<std::pair<quarantine::cause_key, quarantine::crash_effect>>& aEvidence,
+  const char* aSource);
+
 /// Quarantines the part or request with most evidence against it, if that is enough.
 void QuarantineWorstSuspect(gateway_state& aState, time_point aNow);
 
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -214,6 +214,7 @@
       if (outcome.mExchange != nullptr) {
         outcome.mExchange->Close();
       }
+      ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
       LogEnd(aState, aCall, 0, "caller_left");
       co_return;
     }
@@ -232,6 +233,7 @@
                outcome.mExchange->Header().result_int() < 300) {
       if (!delivered.mStarted && Escalates(aState, aCall, outcome)) {
         outcome.mExchange->Close();
+        ReportUnanswered(aState, aCall, outcome, unanswered_end::Moved);
         continue;
       }
       aCall.mExchange = open;
@@ -247,6 +249,7 @@
           outcome.mExchange->Close();
           aCall.mExchange.reset();
           aCall.mCaller->Break();
+          ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
           LogEnd(aState, aCall, 0, "caller_lost");
           co_return;
         }
@@ -277,6 +280,7 @@
       }
       if (end == run_end::CallerLeft) {
         aCall.mCaller->Break();
+        ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
         LogEnd(aState, aCall, 0, "caller_left");
         co_return;
       }
@@ -291,7 +295,10 @@
       outcome.mExchange->Close();
     }
     if (result == attempt_result::Broken && outcome.mAttempt != nullptr) {
-      co_await CheckForCrash(aState, aCall, *outcome.mAttempt);
+      co_await CheckForCrash(aState, aCall, outcome);
+    } else if (result == attempt_result::TimedOut) {
+      ReportUnanswered(aState, aCall, outcome,
+                       outcome.mIsReplaced ? unanswered_end::Moved : unanswered_end::TimedOut);
     }
     // Without an id to go on from, another run would begin anew.
     const bool mayGoOn = delivered.mEvents == 0 || delivered.mLastEvent.has_value();
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -155,10 +155,10 @@
   try {
     const time_point now = net::Now();
     if (quarantine::IsCrashMessage(aBytes)) {
-      OnQuarantined(
-        mState,
-        quarantine::ApplyMessage(mState.mCrashes, quarantine::DecodeCrashes(aBytes, now), now),
-        "peer");
+      const quarantine::merge_result merged =
+        quarantine::ApplyMessage(mState.mCrashes, quarantine::DecodeCrashes(aBytes, now), now);
+      ReportEvidence(mState, merged.mEvidence, "peer");
+      OnQuarantined(mState, merged.mQuarantined, "peer");
       return;
     }
     if (placement::IsSpeedMessage(aBytes)) {
--- a/src/quarantine/crash_board.cpp
+++ b/src/quarantine/crash_board.cpp
@@ -194,16 +194,21 @@
 }
 
 /// Adds a crash to those of its request. Adding it again changes nothing, as reports are repeated.
-void AddToRequest(crash_board& aBoard, const crash_record& aRecord)
+crash_effect AddToRequest(crash_board& aBoard, const crash_record& aRecord)
 {
   const crash_options& options = aBoard.mOptions;
   const auto entry = aBoard.mQuarantined.find(aRecord.mRequest);
   const bool isExplained =
     entry != aBoard.mQuarantined.end() &&
     (aRecord.mAt <= entry->second.mSince || IsQuarantined(aBoard, { entry->first }, aRecord.mAt));
-  if (aRecord.mRequest == cause_key() || isExplained ||
-      LastAnswer(aBoard, aRecord.mRequest) > aRecord.mAt) {
-    return;
+  if (aRecord.mRequest == cause_key()) {
+    return crash_effect::NoRequest;
+  }
+  if (isExplained) {
+    return crash_effect::Quarantined;
+  }
+  if (LastAnswer(aBoard, aRecord.mRequest) > aRecord.mAt) {
+    return crash_effect::Answered;
   }
   if (!aBoard.mRequests.contains(aRecord.mRequest) &&
       aBoard.mRequests.size() >= options.mMaxRequests) {
@@ -218,11 +223,15 @@
   if (crashes.mWeight > 0 && apart < options.mOneEvent) {
     crashes.mWeight += std::max(0, weight - crashes.mNewestWeight);
     crashes.mNewestWeight = std::max(weight, crashes.mNewestWeight);
-  } else if (crashes.mWeight == 0 || aRecord.mAt > crashes.mNewestAt) {
+    return crash_effect::Merged;
+  }
+  if (crashes.mWeight == 0 || aRecord.mAt > crashes.mNewestAt) {
     crashes.mWeight += weight;
     crashes.mNewestWeight = weight;
     crashes.mNewestAt = aRecord.mAt;
+    return crash_effect::Counted;
   }
+  return crash_effect::PassedOver;
 }
 
 } // namespace
@@ -239,12 +248,14 @@
   return last;
 }
 
-void RecordCrash(crash_board& aBoard, const crash_record& aRecord)
+crash_effect RecordCrash(crash_board& aBoard, const crash_record& aRecord)
 {
+  const bool isKnown = aBoard.mRecords.contains(aRecord.mId);
   if (aBoard.mRecords.size() < aBoard.mOptions.mMaxRecords) {
     aBoard.mRecords.try_emplace(aRecord.mId, aRecord);
   }
-  AddToRequest(aBoard, aRecord);
+  const crash_effect effect = AddToRequest(aBoard, aRecord);
+  return isKnown ? crash_effect::Known : effect;
 }
 
 void RecordAnswer(crash_board& aBoard, const std::vector<cause_key>& aKeys, time_point aAt)
--- a/src/quarantine/crash_board.h
+++ b/src/quarantine/crash_board.h
@@ -102,8 +102,20 @@
   std::unordered_map<cause_key, time_point> mWatched;
 };
 
+/// What a crash that is recorded adds to the evidence against the request that was on the server.
+enum class crash_effect
+{
+  Known,       ///< nothing: it was recorded before
+  Counted,     ///< a further crash
+  Merged,      ///< nothing, or little: it is taken for one event with the crash before
+  PassedOver,  ///< nothing: a crash after it was recorded before
+  Answered,    ///< nothing: the request has been answered since
+  Quarantined, ///< nothing: the request is quarantined already
+  NoRequest,   ///< nothing: the report has no request
+};
+
 /// Adds a crash, unless it is known.
-void RecordCrash(crash_board& aBoard, const crash_record& aRecord);
+crash_effect RecordCrash(crash_board& aBoard, const crash_record& aRecord);
 
 /// Records a complete answer to a request with these parts, or the answer to one of these requests
 /// of which another instance tells.
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -90,10 +90,10 @@
 
   crash_board other;
   RecordAnswer(other, { kCommon, kDeadly }, kStart + 2500ms);
-  CHECK(ApplyMessage(other, *question, kStart + 2500ms).empty());
+  CHECK(ApplyMessage(other, *question, kStart + 2500ms).mQuarantined.empty());
   const auto answer = MakeMessage(other, false, kStart + 2500ms);
   REQUIRE(answer);
-  CHECK(ApplyMessage(board, *answer, kStart + 2500ms).empty());
+  CHECK(ApplyMessage(board, *answer, kStart + 2500ms).mQuarantined.empty());
   CHECK_FALSE(QuarantineWorstSuspect(board, kStart + 4s));
 }
 
@@ -201,7 +201,7 @@
   crash_board other;
   RecordCrash(other, RequestCrash(7, kStart, kRequest));
   const crash_message decoded = DecodeCrashes(Encode(*message, now + 1s), now + 1s);
-  CHECK(ApplyMessage(other, decoded, now + 1s) == std::vector{ kRequest });
+  CHECK(ApplyMessage(other, decoded, now + 1s).mQuarantined == std::vector{ kRequest });
   CHECK(other.mQuarantined.at(kRequest).mIsRequest);
   // Crashes that led to it, or that come during it, are not counted towards another one.
   RecordCrash(other, RequestCrash(8, now + 2s, kRequest));
@@ -259,3 +259,21 @@
     CHECK_THROWS_AS(DecodeCrashes(bytes.substr(0, size), now), error);
   }
 }
+
+// Guards against evidence that is lost without a trace in the log.
+TEST_CASE("a crash that adds nothing to the evidence says why")
+{
+  crash_board board;
+  const crash_record first = RequestCrash(0, kStart, kRequest);
+  CHECK(RecordCrash(board, first) == crash_effect::Counted);
+  CHECK(RecordCrash(board, first) == crash_effect::Known);
+  CHECK(RecordCrash(board, RequestCrash(1, kStart + 100ms, kRequest)) == crash_effect::Merged);
+  CHECK(RecordCrash(board, Crash(2, kStart, { kDeadly })) == crash_effect::NoRequest);
+  RecordRequestAnswer(board, kRequest, kStart + 1s);
+  CHECK(RecordCrash(board, RequestCrash(3, kStart + 500ms, kRequest)) == crash_effect::Answered);
+  for (int i = 4; i < 7; ++i) {
+    CHECK(RecordCrash(board, RequestCrash(i, kStart + i * 1s, kRequest)) == crash_effect::Counted);
+  }
+  REQUIRE(QuarantineInTime(board, kStart + 7s) == kRequest);
+  CHECK(RecordCrash(board, RequestCrash(7, kStart + 8s, kRequest)) == crash_effect::Quarantined);
+}
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -88,11 +88,13 @@
   return message;
 }
 
-std::vector<cause_key> ApplyMessage(crash_board& aBoard, const crash_message& aMessage,
-                                    time_point aNow)
+merge_result ApplyMessage(crash_board& aBoard, const crash_message& aMessage, time_point aNow)
 {
+  merge_result result;
   for (const crash_record& crash : aMessage.mCrashes) {
-    RecordCrash(aBoard, crash);
+    if (const crash_effect effect = RecordCrash(aBoard, crash); effect != crash_effect::Known) {
+      result.mEvidence.emplace_back(crash.mRequest, effect);
+    }
   }
   for (const cause_key part : aMessage.mWatched) {
     aBoard.mWatched[part] = aNow + kWatchFor;
@@ -100,7 +102,6 @@
   for (const auto& [part, answered] : aMessage.mAnswered) {
     RecordAnswer(aBoard, { part }, answered);
   }
-  std::vector<cause_key> quarantined;
   for (const auto& [part, entry] : aMessage.mQuarantined) {
     const auto known = aBoard.mQuarantined.find(part);
     if (known != aBoard.mQuarantined.end() && known->second.mTerm >= entry.mTerm) {
@@ -109,10 +110,10 @@
     aBoard.mQuarantined[part] = entry;
     aBoard.mRequests.erase(part);
     if (IsQuarantined(aBoard, { part }, aNow)) {
-      quarantined.push_back(part);
+      result.mQuarantined.push_back(part);
     }
   }
-  return quarantined;
+  return result;
 }
 
 std::string Encode(const crash_message& aMessage, time_point aNow)
--- a/src/quarantine/crash_message.h
+++ b/src/quarantine/crash_message.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace tamarackweir::quarantine {
@@ -24,9 +25,16 @@
 std::optional<crash_message> MakeMessage(const crash_board& aBoard, bool aIsReminder,
                                          time_point aNow);
 
-/// Merges a message of another instance. Returns what has been quarantined anew here.
-std::vector<cause_key> ApplyMessage(crash_board& aBoard, const crash_message& aMessage,
-                                    time_point aNow);
+/// What a message of another instance has changed.
+struct merge_result
+{
+  std::vector<cause_key> mQuarantined; ///< anew here
+  /// By crash that was not known here: the request on the server, and what it adds.
+  std::vector<std::pair<cause_key, crash_effect>> mEvidence;
+};
+
+/// Merges a message of another instance.
+merge_result ApplyMessage(crash_board& aBoard, const crash_message& aMessage, time_point aNow);
 
 /// Encodes as MessagePack. The result is an object, which tells it from a load message.
 std::string Encode(const crash_message& aMessage, time_point aNow);
