Run a request alone after three crashes, however close together they are

Callers saw the servers of a small service go down together, again and again: a lookup begins to run at once and is sent to the next server at once, so that it crashes three servers within 300 ms. Crashes that close together counted as one, as in a power cut, and three such rounds were needed.

Two crashes now have one cause only if no run at one of the servers began after the first crash. Three crashes at one moment put the request on trial: it is run alone, at one instance at a time, which claims it from the others by datagram. An answer ends the trial, and a further crash convicts the request. Its quarantine ends in a trial as well, as several callers may wait for that moment. Claims, crashes and quarantines are told at once, not with the next load report. The request with the fewest crashes is forgotten first, not the oldest.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -8,6 +8,7 @@
 #include "gateway/server_choice.h"
 #include "gateway/server_message.h"
 #include "gateway/shift_results.h"
+#include "gateway/trial.h"
 #include "gateway/work_check.h"
 #include "observe/event_log.h"
 
@@ -206,7 +207,8 @@
 
 bool ConsumeRetry(gateway_state& aState, call& aCall, attempt_result aResult)
 {
-  if (aCall.mCaller->IsGone() || IsEnding(aState) || IsQuarantined(aState, aCall)) {
+  if (aCall.mCaller->IsGone() || IsEnding(aState) || IsQuarantined(aState, aCall) ||
+      (!IsCertainlyNotRun(aResult) && IsOnTrial(aState, aCall))) {
     return false;
   }
   const auto budget = BudgetOf(aState, aCall.mService, net::Now());
@@ -256,11 +258,15 @@
 net::task<attempt_outcome> Attempt(gateway_state& aState, call& aCall,
                                    std::optional<std::uint64_t> aLastEvent)
 {
-  const time_point now = net::Now();
   attempt_outcome outcome;
   if (IsEnding(aState)) {
     co_return outcome;
   }
+  if (auto refused = co_await AwaitTrial(aState, aCall)) {
+    outcome.mWork.mRefusal = *refused;
+    co_return outcome;
+  }
+  const time_point now = net::Now();
   const auto service = aCall.mRoutes->mServices.find(aCall.mService);
   const double coldRate = service == aCall.mRoutes->mServices.end() ? 0 : service->second.mColdRate;
   const backends::cold_share coldShare{ .mSelf = aState.mSelf.mId.Value(),
@@ -584,6 +590,7 @@
     co_await ForwardPlain(aState, current);
   }
   current.mCaller->OnGone(nullptr);
+  EndTrial(aState, current);
 }
 
 } // namespace tamarackweir::gateway
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -49,6 +49,7 @@
   std::optional<time_point> mAnswerBegan; ///< when the current attempt's answer began to arrive
   bool mKeepsRunning = false;             ///< the attempt continues if the caller disconnects
   bool mIsWithdrawn = false; ///< closed here: it was quarantined, or the instance stops
+  bool mHoldsTrial = false;  ///< its request is on trial, and this is the only run of it
   charged_retry mRetry;      ///< of the current attempt
   int mCrashes = 0;          ///< servers that crashed just after they had begun to answer
 };
--- a/src/gateway/crash_reports.cpp
+++ b/src/gateway/crash_reports.cpp
@@ -11,18 +11,6 @@
 
 namespace {
 
-std::string ToHex(const std::vector<quarantine::cause_key>& aKeys)
-{
-  std::string text;
-  for (const quarantine::cause_key key : aKeys) {
-    std::array<char, 24> digits{};
-    std::snprintf(digits.data(), digits.size(), "%016llx",
-                  static_cast<unsigned long long>(key.Value()));
-    text += (text.empty() ? "" : ",") + std::string(digits.data());
-  }
-  return text;
-}
-
 const char* NameOf(quarantine::run_stage aStage)
 {
   switch (aStage) {
@@ -76,8 +64,6 @@
       return "counted";
     case quarantine::crash_effect::Merged:
       return "merged";
-    case quarantine::crash_effect::PassedOver:
-      return "passed_over";
     case quarantine::crash_effect::Answered:
       return "answered_since";
     case quarantine::crash_effect::Quarantined:
@@ -90,6 +76,25 @@
 
 } // namespace
 
+std::string ToHex(const std::vector<quarantine::cause_key>& aKeys)
+{
+  std::string text;
+  for (const quarantine::cause_key key : aKeys) {
+    std::array<char, 24> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx",
+                  static_cast<unsigned long long>(key.Value()));
+    text += (text.empty() ? "" : ",") + std::string(digits.data());
+  }
+  return text;
+}
+
+void ShareCrashNews(const gateway_state& aState, crash_news aNews)
+{
+  if (aState.mShareCrashNews) {
+    aState.mShareCrashNews(aNews);
+  }
+}
+
 std::vector<quarantine::cause_key> SharedParts(const call& aCall)
 {
   std::vector<quarantine::cause_key> parts;
@@ -179,6 +184,7 @@
                                                .mParts = parts,
                                                .mRequest = aCall.mFingerprint,
                                                .mAt = broken,
+                                               .mSent = aOutcome.mAttempt->Started(),
                                                .mIsOwn = true });
   observe::event_line("server_crashed")
     .Text("request", aCall.mHeader.mAttempt)
@@ -188,6 +194,7 @@
     .Text("parts", ToHex(parts))
     .Write();
   ReportEvidence(aState, { { aCall.mFingerprint, effect } }, "own");
+  ShareCrashNews(aState, crash_news::Evidence);
 }
 
 void RecordWholeAnswer(gateway_state& aState, const call& aCall)
@@ -200,6 +207,7 @@
 {
   if (const auto key = quarantine::QuarantineWorstSuspect(aState.mCrashes, aNow); key) {
     OnQuarantined(aState, { *key }, "own");
+    ShareCrashNews(aState, crash_news::Decision);
   }
 }
 
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -3,6 +3,7 @@
 #include "gateway/call.h"
 #include "quarantine/crash_board.h"
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,16 @@
 /// Records that the call got a complete answer, which clears it and the parts of its prompt.
 void RecordWholeAnswer(gateway_state& aState, const call& aCall);
 
+/// For the log: hexadecimal, separated by commas.
+std::string ToHex(const std::vector<quarantine::cause_key>& aKeys);
+
+/// Tells other instances at once what is known of crashes here.
+void ShareCrashNews(const gateway_state& aState, crash_news aNews);
+
+/// After the end of a run without an answer, for which its server may yet crash under it: it closes
+/// abandoned runs as soon as it finds that they are, between two steps of its work.
+inline constexpr duration kCrashFollowsWithin = 1s;
+
 /// How a run ended whose server made no whole answer that is known here.
 enum class unanswered_end
 {
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -52,6 +52,7 @@
   if (const net::error_code failure = Bind(); failure && !net::MayBindLater(failure)) {
     throw boost::system::system_error(failure, "bind " + net::ToString(aAddress));
   }
+  mState.mShareCrashNews = [this](crash_news aNews) { ShareCrashNews(aNews); };
   net::Spawn(mLoop.get_executor(), "load_exchange", BindAndRun());
   net::Spawn(mLoop.get_executor(), "server_probe", ProbeServers(mLoop, mState));
 }
@@ -91,8 +92,7 @@
     const std::size_t slowdown = 1 + instances / kInstancesAtFullRate;
     co_await net::SleepFor(mLoop.get_executor(), kReportInterval * static_cast<int>(slowdown));
     const bool isFullMesh = instances <= kMaxFullMesh;
-    const std::vector<std::string> receivers =
-      isFullMesh ? mState.mInstances : DutyHolders(mState.mRoster, "load board", kAggregators);
+    const std::vector<std::string> receivers = Receivers();
     placement::load_message report{ .mInstance = mState.mSelf.mId.Value(),
                                     .mLoads = placement::OwnLoads(mState.mFleet),
                                     .mSeen = backends::OwnObservations(mState.mFleet, net::Now()) };
@@ -120,6 +120,7 @@
     }
     const time_point now = net::Now();
     quarantine::RemoveExpired(mState.mCrashes, now);
+    quarantine::RemoveExpired(mState.mTrialClaims, now);
     if (isAggregator) {
       UsePooledSpeeds(mState, now);
       OnTotals(placement::Totals(mBoard, "", now), PooledObservations(now), now);
@@ -155,8 +156,12 @@
   try {
     const time_point now = net::Now();
     if (quarantine::IsCrashMessage(aBytes)) {
+      const quarantine::crash_message message = quarantine::DecodeCrashes(aBytes, now);
+      for (const auto& [request, claim] : message.mClaims) {
+        quarantine::RecordClaim(mState.mTrialClaims, request, claim);
+      }
       const quarantine::merge_result merged =
-        quarantine::ApplyMessage(mState.mCrashes, quarantine::DecodeCrashes(aBytes, now), now);
+        quarantine::ApplyMessage(mState.mCrashes, message, now);
       ReportEvidence(mState, merged.mEvidence, "peer");
       OnQuarantined(mState, merged.mQuarantined, "peer");
       return;
@@ -223,10 +228,37 @@
   }
 }
 
+std::vector<std::string> load_exchange::Receivers() const
+{
+  return mState.mInstances.size() <= kMaxFullMesh
+           ? mState.mInstances
+           : DutyHolders(mState.mRoster, "load board", kAggregators);
+}
+
+void load_exchange::ShareCrashNews(crash_news aNews)
+{
+  const auto crashes = EncodedCrashes(false);
+  if (!crashes || !mSocket.is_open()) {
+    return;
+  }
+  if (aNews == crash_news::Decision) {
+    for (const auto& [id, address] : mPeers) {
+      Send(*crashes, address);
+    }
+    return;
+  }
+  for (const std::string& id : Receivers()) {
+    if (const auto peer = mPeers.find(id); peer != mPeers.end()) {
+      Send(*crashes, peer->second);
+    }
+  }
+}
+
 std::optional<std::string> load_exchange::EncodedCrashes(bool aIsReminder) const
 {
   const time_point now = net::Now();
-  const auto message = quarantine::MakeMessage(mState.mCrashes, aIsReminder, now);
+  const auto message =
+    quarantine::MakeMessage(mState.mCrashes, aIsReminder, now, mState.mTrialClaims);
   return message ? std::optional(quarantine::Encode(*message, now)) : std::nullopt;
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace tamarackweir::gateway {
 
@@ -53,6 +54,10 @@
   /// Handles estimates of engine speeds by another instance.
   void HandleSpeeds(std::string_view aBytes, const datagram_endpoint& aSender);
   void Send(const std::string& aBytes, const datagram_endpoint& aTo);
+  /// Tells other instances at once what is known of crashes.
+  void ShareCrashNews(crash_news aNews);
+  /// Those who decide by the reports of all instances.
+  std::vector<std::string> Receivers() const;
   /// The encoded crash message; absent if it would be empty.
   std::optional<std::string> EncodedCrashes(bool aIsReminder) const;
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -13,9 +13,11 @@
 #include "placement/choose.h"
 #include "placement/speed_board.h"
 #include "quarantine/crash_board.h"
+#include "quarantine/trial_claims.h"
 #include "rollout/shift.h"
 #include "routing/route_table.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -64,6 +66,13 @@
   double mLinkMbps = 0; ///< bandwidth of the machine's link; 0: not known
 };
 
+/// What other instances are told at once, rather than with the next load report.
+enum class crash_news
+{
+  Evidence, ///< a crash; for those who decide by it
+  Decision, ///< a quarantine or a claim; for all
+};
+
 /// Options of the gateway's decisions.
 struct gateway_options
 {
@@ -119,6 +128,8 @@
   std::unordered_map<std::string, cascade::escalation_record> mEscalations;
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
+  quarantine::trial_claims mTrialClaims;
+  std::function<void(crash_news)> mShareCrashNews; ///< null while there are no other instances
   /// Where plain calls wait for places of servers, by service and version side. Shared with the
   /// calls, as they may outlive the state at the end of the process.
   std::unordered_map<std::string, std::shared_ptr<waiting_room>> mWaitingRooms;
--- a/src/quarantine/crash_board.cpp
+++ b/src/quarantine/crash_board.cpp
@@ -125,26 +125,31 @@
 std::vector<suspect> FindSuspects(const crash_board& aBoard, time_point aNow)
 {
   std::vector<suspect> suspects;
-  const auto add = [&](const suspect& aSuspect) {
-    if (aSuspect.mWeight >= aBoard.mOptions.mSuspicionWeight ||
-        aBoard.mQuarantined.contains(aSuspect.mKey)) {
-      suspects.push_back(aSuspect);
-    }
+  const auto isSuspected = [&aBoard](cause_key aKey, int aWeight) {
+    return aWeight >= aBoard.mOptions.mSuspicionWeight || aBoard.mQuarantined.contains(aKey);
   };
   for (const auto& [part, against] : CollectEvidence(aBoard, aNow)) {
-    add({ .mKey = part,
-          .mWeight = SumOf(against, aBoard.mOptions.mOneEvent),
+    if (const int weight = SumOf(against, aBoard.mOptions.mOneEvent); isSuspected(part, weight)) {
+      suspects.push_back(
+        { .mKey = part,
+          .mWeight = weight,
           .mPosition = against.mPosition,
           .mIsExplained = IsOneRequest(against) && LastAnswer(aBoard, part) != time_point::min() });
+    }
   }
   for (const auto& [request, crashes] : aBoard.mRequests) {
-    if (IsQuarantined(aBoard, { request }, aNow)) {
+    if (IsQuarantined(aBoard, { request }, aNow) ||
+        (crashes.mByServer.size() == 1 && !aBoard.mQuarantined.contains(request))) {
       continue;
     }
-    add({ .mKey = request,
-          .mWeight = crashes.mWeight,
+    const request_evidence against = EvidenceAgainst(aBoard, request);
+    if (isSuspected(request, against.mWeight)) {
+      suspects.push_back(
+        { .mKey = request,
+          .mWeight = against.mFailedTrial ? against.mWeight : against.mSeparateWeight,
           .mPosition = kBehindAllParts,
           .mIsRequest = true });
+    }
   }
   return suspects;
 }
@@ -174,22 +179,39 @@
   return worst != nullptr ? std::optional(*worst) : std::nullopt;
 }
 
-/// Makes room for another request by forgetting the one whose last crash is the oldest.
-void ForgetOldestRequest(crash_board& aBoard)
+/// When the last crash of a request was.
+time_point NewestOf(const request_crashes& aCrashes)
+{
+  time_point newest{};
+  for (const auto& [server, crash] : aCrashes.mByServer) {
+    newest = std::max(newest, crash.mAt);
+  }
+  return newest;
+}
+
+/// Makes room for another request by forgetting the one with the fewest crashes, and of those the
+/// one whose last crash is the oldest.
+void ForgetWeakestRequest(crash_board& aBoard)
 {
-  const auto oldest = std::min_element(aBoard.mRequests.begin(), aBoard.mRequests.end(),
-                                       [](const auto& aOne, const auto& aOther) {
-                                         return aOne.second.mNewestAt < aOther.second.mNewestAt;
-                                       });
-  aBoard.mRequests.erase(oldest);
+  const auto rank = [](const request_crashes& aCrashes) {
+    return std::pair(aCrashes.mByServer.size(), NewestOf(aCrashes));
+  };
+  const auto weakest = std::min_element(aBoard.mRequests.begin(), aBoard.mRequests.end(),
+                                        [&rank](const auto& aOne, const auto& aOther) {
+                                          return rank(aOne.second) < rank(aOther.second);
+                                        });
+  aBoard.mRequests.erase(weakest);
 }
 
 /// Forgets the crashes of a request that was answered after them.
 void ClearRequest(crash_board& aBoard, cause_key aRequest, time_point aAnswered)
 {
-  if (const auto crashes = aBoard.mRequests.find(aRequest);
-      crashes != aBoard.mRequests.end() && crashes->second.mNewestAt < aAnswered) {
-    aBoard.mRequests.erase(crashes);
+  if (const auto found = aBoard.mRequests.find(aRequest); found != aBoard.mRequests.end()) {
+    auto& crashes = found->second.mByServer;
+    std::erase_if(crashes, [&](const auto& aEntry) { return aEntry.second.mAt < aAnswered; });
+    if (crashes.empty()) {
+      aBoard.mRequests.erase(found);
+    }
   }
 }
 
@@ -197,14 +219,13 @@
 crash_effect AddToRequest(crash_board& aBoard, const crash_record& aRecord)
 {
   const crash_options& options = aBoard.mOptions;
-  const auto entry = aBoard.mQuarantined.find(aRecord.mRequest);
-  const bool isExplained =
-    entry != aBoard.mQuarantined.end() &&
-    (aRecord.mAt <= entry->second.mSince || IsQuarantined(aBoard, { entry->first }, aRecord.mAt));
   if (aRecord.mRequest == cause_key()) {
     return crash_effect::NoRequest;
   }
-  if (isExplained) {
+  if (const auto entry = aBoard.mQuarantined.find(aRecord.mRequest);
+      entry != aBoard.mQuarantined.end() &&
+      (aRecord.mAt <= entry->second.mSince ||
+       IsQuarantined(aBoard, { entry->first }, aRecord.mAt))) {
     return crash_effect::Quarantined;
   }
   if (LastAnswer(aBoard, aRecord.mRequest) > aRecord.mAt) {
@@ -212,26 +233,31 @@
   }
   if (!aBoard.mRequests.contains(aRecord.mRequest) &&
       aBoard.mRequests.size() >= options.mMaxRequests) {
-    ForgetOldestRequest(aBoard);
+    ForgetWeakestRequest(aBoard);
   }
-  request_crashes& crashes = aBoard.mRequests[aRecord.mRequest];
+  const int before = EvidenceAgainst(aBoard, aRecord.mRequest).mSeparateWeight;
+  auto& crashes = aBoard.mRequests[aRecord.mRequest].mByServer;
   // Servers crash as they begin to run the request, before or after the header of the answer.
   const int weight =
     aRecord.mStage == run_stage::Streaming ? options.mOtherWeight : options.mJustBegunWeight;
-  const duration apart =
-    std::max(aRecord.mAt, crashes.mNewestAt) - std::min(aRecord.mAt, crashes.mNewestAt);
-  if (crashes.mWeight > 0 && apart < options.mOneEvent) {
-    crashes.mWeight += std::max(0, weight - crashes.mNewestWeight);
-    crashes.mNewestWeight = std::max(weight, crashes.mNewestWeight);
-    return crash_effect::Merged;
+  const auto [known, isNew] = crashes.try_emplace(
+    aRecord.mServer,
+    request_crash{ .mSent = aRecord.mSent, .mAt = aRecord.mAt, .mWeight = weight });
+  if (!isNew) {
+    // Several instances may have had the request at the server.
+    known->second.mAt = std::min(known->second.mAt, aRecord.mAt);
+    known->second.mSent = std::max(known->second.mSent, aRecord.mSent);
+    known->second.mWeight = std::max(known->second.mWeight, weight);
+    return crash_effect::Known;
   }
-  if (crashes.mWeight == 0 || aRecord.mAt > crashes.mNewestAt) {
-    crashes.mWeight += weight;
-    crashes.mNewestWeight = weight;
-    crashes.mNewestAt = aRecord.mAt;
-    return crash_effect::Counted;
+  if (crashes.size() > options.mMaxCrashesOfRequest) {
+    crashes.erase(
+      std::min_element(crashes.begin(), crashes.end(), [](const auto& aOne, const auto& aOther) {
+        return aOne.second.mAt < aOther.second.mAt;
+      }));
   }
-  return crash_effect::PassedOver;
+  return EvidenceAgainst(aBoard, aRecord.mRequest).mSeparateWeight > before ? crash_effect::Counted
+                                                                            : crash_effect::Merged;
 }
 
 } // namespace
@@ -287,6 +313,55 @@
   });
 }
 
+request_evidence EvidenceAgainst(const crash_board& aBoard, cause_key aRequest)
+{
+  request_evidence evidence;
+  const auto found = aBoard.mRequests.find(aRequest);
+  if (found == aBoard.mRequests.end()) {
+    return evidence;
+  }
+  std::vector<request_crash> crashes;
+  for (const auto& [server, crash] : found->second.mByServer) {
+    crashes.push_back(crash);
+  }
+  std::sort(
+    crashes.begin(), crashes.end(),
+    [](const request_crash& aOne, const request_crash& aOther) { return aOne.mAt < aOther.mAt; });
+  int heaviest = 0;
+  std::optional<time_point> begin;
+  for (const request_crash& crash : crashes) {
+    if (!begin || crash.mAt - *begin >= aBoard.mOptions.mOneEvent || crash.mSent >= *begin) {
+      evidence.mFailedTrial |= evidence.mWeight >= aBoard.mOptions.mTrialWeight;
+      evidence.mSeparateWeight += heaviest;
+      begin = crash.mAt;
+      heaviest = 0;
+    }
+    heaviest = std::max(heaviest, crash.mWeight);
+    evidence.mWeight += crash.mWeight;
+  }
+  evidence.mSeparateWeight += heaviest;
+  return evidence;
+}
+
+bool IsOnTrial(const crash_board& aBoard, cause_key aRequest, time_point aNow)
+{
+  if (IsQuarantined(aBoard, { aRequest }, aNow)) {
+    return false;
+  }
+  const time_point answered = LastAnswer(aBoard, aRequest);
+  if (const auto entry = aBoard.mQuarantined.find(aRequest); entry != aBoard.mQuarantined.end() &&
+                                                             entry->second.mIsRequest &&
+                                                             answered < entry->second.mSince) {
+    return true;
+  }
+  if (const auto told = aBoard.mTrials.find(aRequest);
+      told != aBoard.mTrials.end() && answered < told->second &&
+      aNow < told->second + aBoard.mOptions.mTrialMemory) {
+    return true;
+  }
+  return EvidenceAgainst(aBoard, aRequest).mWeight >= aBoard.mOptions.mTrialWeight;
+}
+
 std::optional<cause_key> QuarantineWorstSuspect(crash_board& aBoard, time_point aNow)
 {
   const std::vector<suspect> suspects = FindSuspects(aBoard, aNow);
@@ -318,8 +393,10 @@
   std::erase_if(aBoard.mRecords,
                 [&](const auto& aEntry) { return aNow - aEntry.second.mAt > options.mMemory; });
   std::erase_if(aBoard.mRequests, [&](const auto& aEntry) {
-    return aNow - aEntry.second.mNewestAt > options.mRequestMemory;
+    return aNow - NewestOf(aEntry.second) > options.mRequestMemory;
   });
+  std::erase_if(aBoard.mTrials,
+                [&](const auto& aEntry) { return aNow > aEntry.second + options.mTrialMemory; });
   std::erase_if(aBoard.mWatched, [&](const auto& aEntry) { return aNow > aEntry.second; });
   std::erase_if(aBoard.mQuarantined, [&](const auto& aEntry) {
     return aNow > aEntry.second.mSince + 2 * aEntry.second.mTerm;
--- a/src/quarantine/crash_board.h
+++ b/src/quarantine/crash_board.h
@@ -31,6 +31,7 @@
   std::vector<cause_key> mParts; ///< those that other requests may share, in the prompt's order
   cause_key mRequest;            ///< the request itself; 0: reported by an earlier release
   time_point mAt{};              ///< by the clock of this instance
+  time_point mSent{};            ///< when the request was sent to the server; default: not known
   bool mIsOwn = false;           ///< seen by this instance, not reported by another one
 };
 
@@ -47,6 +48,7 @@
   int mSuspicionWeight = 3;  ///< more than one crash; other instances are asked for answers
   int mQuarantineWeight = 6; ///< three crashes at the beginning of an answer
   int mProbationWeight = 2;  ///< enough for another quarantine during the probation
+  int mTrialWeight = 6;      ///< three crashes, however close together; the request is run alone
   duration mFirstTerm = std::chrono::minutes(1); ///< of a part's quarantine; doubles each time
   /// Of a request's first quarantine. Nobody else's requests are refused by it, and each probation
   /// may cost a server.
@@ -58,7 +60,9 @@
   /// Between two crashes of a request that count together. It is longer than `mMemory`, since a
   /// request may come again at any time, while a part comes with many requests.
   duration mRequestMemory = std::chrono::minutes(10);
-  std::size_t mMaxRequests = 4096; ///< whose crashes, or answers, are remembered
+  std::size_t mMaxRequests = 4096;       ///< whose crashes, or answers, are remembered
+  std::size_t mMaxCrashesOfRequest = 16; ///< the newest ones are remembered
+  duration mTrialMemory = 3s; ///< a trial that another instance tells of, unless it is told again
 };
 
 /// Requests with the part, or the request itself, are refused for `mTerm`. Then it is on probation
@@ -70,13 +74,27 @@
   bool mIsRequest = false; ///< a whole request, not a prompt part
 };
 
+/// The crash of one server under a request.
+struct request_crash
+{
+  time_point mSent{}; ///< default: not known
+  time_point mAt{};
+  int mWeight = 0;
+};
+
 /// Crashes under one request, however often and at whichever instance it comes, since its last
 /// complete answer.
 struct request_crashes
 {
-  int mWeight = 0;        ///< of the crashes with different causes
-  int mNewestWeight = 0;  ///< the part of it that the newest cause has
-  time_point mNewestAt{}; ///< the first crash with the newest cause
+  std::map<std::uint64_t, request_crash> mByServer;
+};
+
+/// Evidence against one request.
+struct request_evidence
+{
+  int mWeight = 0;           ///< of all crashes, however close together
+  int mSeparateWeight = 0;   ///< the same, but of crashes with one cause only the heaviest counts
+  bool mFailedTrial = false; ///< a server crashed once the request was on trial
 };
 
 /// Crashes of backend servers that an instance knows of, and the requests that were on them.
@@ -84,7 +102,8 @@
 /// A crash breaks all requests on the server, and at most one of them has caused it. A complete
 /// answer after the crash clears the request and the parts of its prompt. Of the remaining parts
 /// the one with the oldest last answer is blamed. If it was ever answered, and one and the same
-/// request was on all servers that crashed under it, that request is blamed instead.
+/// request was on all servers that crashed under it, that request is blamed instead. Crashes at one
+/// moment may have another cause, as a power cut; after them a request is run alone, which shows.
 struct crash_board
 {
   crash_options mOptions;
@@ -100,6 +119,8 @@
   std::map<cause_key, quarantine_entry> mQuarantined;
   /// Parts and requests whose answers another instance wants to know, and until when.
   std::unordered_map<cause_key, time_point> mWatched;
+  /// Requests that another instance has told to be on trial, and when.
+  std::unordered_map<cause_key, time_point> mTrials;
 };
 
 /// What a crash that is recorded adds to the evidence against the request that was on the server.
@@ -107,8 +128,7 @@
 {
   Known,       ///< nothing: it was recorded before
   Counted,     ///< a further crash
-  Merged,      ///< nothing, or little: it is taken for one event with the crash before
-  PassedOver,  ///< nothing: a crash after it was recorded before
+  Merged,      ///< a further crash, of an event that is known
   Answered,    ///< nothing: the request has been answered since
   Quarantined, ///< nothing: the request is quarantined already
   NoRequest,   ///< nothing: the report has no request
@@ -133,6 +153,15 @@
 /// What has been answered since its quarantine began is free again.
 bool IsQuarantined(const crash_board& aBoard, const std::vector<cause_key>& aKeys, time_point aNow);
 
+/// The evidence against a request. Crashes have one cause if they are close together and no run at
+/// one of the servers began after the first crash.
+request_evidence EvidenceAgainst(const crash_board& aBoard, cause_key aRequest);
+
+/// Whether the request is run alone, one run at a time on all instances: three servers crashed
+/// under it, perhaps at one moment, or its quarantine has just ended. A complete answer ends it,
+/// and a crash of a run alone is not a coincidence.
+bool IsOnTrial(const crash_board& aBoard, cause_key aRequest, time_point aNow);
+
 /// Decides which parts and requests are suspected of the known crashes, and quarantines the one
 /// with most evidence against it, if that is enough. Only one at a time, since it explains crashes,
 /// and so clears the parts beside it.
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -277,3 +277,86 @@
   REQUIRE(QuarantineInTime(board, kStart + 7s) == kRequest);
   CHECK(RecordCrash(board, RequestCrash(7, kStart + 8s, kRequest)) == crash_effect::Quarantined);
 }
+
+// Guards against counting once the crashes of a request that goes from server to server at once.
+TEST_CASE("crashes close together convict a request if each of its runs began after the last one")
+{
+  crash_board board;
+  for (int i = 0; i < 3; ++i) {
+    crash_record crash = RequestCrash(i, kStart + i * 60ms, kRequest);
+    crash.mSent = crash.mAt - 50ms;
+    CHECK(RecordCrash(board, crash) == crash_effect::Counted);
+  }
+  CHECK(QuarantineInTime(board, kStart + 1s) == kRequest);
+}
+
+// Guards against a request that crashes all servers at one moment each time that it comes.
+TEST_CASE("a request is run alone after three crashes at one moment, and convicted by the next one")
+{
+  crash_board board;
+  for (int i = 0; i < 2; ++i) {
+    RecordCrash(board, RequestCrash(i, kStart + i * 5ms, kRequest));
+  }
+  CHECK_FALSE(IsOnTrial(board, kRequest, kStart + 1s));
+  RecordCrash(board, RequestCrash(2, kStart + 10ms, kRequest));
+  CHECK(IsOnTrial(board, kRequest, kStart + 1s));
+  CHECK_FALSE(IsOnTrial(board, cause_key(78), kStart + 1s));
+  CHECK_FALSE(QuarantineInTime(board, kStart + 1s));
+  RecordCrash(board, RequestCrash(3, kStart + 2s, kRequest));
+  CHECK(QuarantineWorstSuspect(board, kStart + 2s) == kRequest);
+  CHECK_FALSE(IsOnTrial(board, kRequest, kStart + 3s));
+}
+
+TEST_CASE("a complete answer ends a trial, and a quarantine ends in one")
+{
+  crash_board board;
+  for (int i = 0; i < 3; ++i) {
+    RecordCrash(board, RequestCrash(i, kStart, kRequest));
+  }
+  RecordRequestAnswer(board, kRequest, kStart + 1s);
+  CHECK_FALSE(IsOnTrial(board, kRequest, kStart + 1s));
+  for (int i = 3; i < 6; ++i) {
+    RecordCrash(board, RequestCrash(i, kStart + i * 1s, kRequest));
+  }
+  REQUIRE(QuarantineInTime(board, kStart + 6s) == kRequest);
+  const time_point end = kStart + 7s + board.mOptions.mFirstRequestTerm;
+  CHECK(IsOnTrial(board, kRequest, end));
+  RecordRequestAnswer(board, kRequest, end);
+  CHECK_FALSE(IsOnTrial(board, kRequest, end + 1s));
+}
+
+TEST_CASE("an instance without evidence of its own learns of a trial, and of its end")
+{
+  crash_board board;
+  for (int i = 0; i < 3; ++i) {
+    RecordCrash(board, RequestCrash(i, kStart, kRequest));
+  }
+  const time_point now = kStart + 5s;
+  const trial_claims claims{ { kRequest, { .mOwner = 3, .mSince = now, .mUntil = now + 2s } } };
+  const auto message = MakeMessage(board, false, now, claims);
+  REQUIRE(message);
+  const crash_message decoded = DecodeCrashes(Encode(*message, now + 100ms), kStart + 100ms);
+  CHECK(decoded.mClaims.at(kRequest).mOwner == 3);
+  CHECK(decoded.mClaims.at(kRequest).mSince == kStart);
+  CHECK(decoded.mClaims.at(kRequest).mUntil == kStart + 2s);
+  crash_board other;
+  CHECK(ApplyMessage(other, decoded, kStart).mEvidence.empty());
+  CHECK(IsOnTrial(other, kRequest, kStart + 1s));
+  RecordRequestAnswer(other, kRequest, kStart + 1s);
+  CHECK_FALSE(IsOnTrial(other, kRequest, kStart + 1s));
+  CHECK(ApplyMessage(other, decoded, kStart + 2s).mEvidence.empty());
+  CHECK_FALSE(IsOnTrial(other, kRequest, kStart + 2s + board.mOptions.mTrialMemory));
+}
+
+// Guards against evidence that is pushed out by the requests that crashed beside it.
+TEST_CASE("requests with the fewest crashes are forgotten first")
+{
+  crash_board board;
+  board.mOptions.mMaxRequests = 10;
+  RecordCrash(board, RequestCrash(0, kStart, kRequest));
+  RecordCrash(board, RequestCrash(1, kStart + 1s, kRequest));
+  for (int i = 2; i < 50; ++i) {
+    RecordCrash(board, RequestCrash(i, kStart + i * 1s, cause_key(100 + i)));
+  }
+  CHECK(board.mRequests.contains(kRequest));
+}
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -13,6 +13,7 @@
 
 constexpr duration kRepeatFor =
   2s; ///< a crash is sent again until then, since datagrams may be lost
+constexpr std::chrono::milliseconds kLongestClaim = std::chrono::minutes(1);
 constexpr duration kWatchFor = 3s;     ///< a watched part expires unless it is asked for again
 constexpr std::size_t kMaxItems = 200; ///< of each kind in a message, to fit into a datagram
 
@@ -50,9 +51,9 @@
 } // namespace
 
 std::optional<crash_message> MakeMessage(const crash_board& aBoard, bool aIsReminder,
-                                         time_point aNow)
+                                         time_point aNow, const trial_claims& aClaims)
 {
-  crash_message message;
+  crash_message message{ .mClaims = aClaims };
   const auto addAnswer = [&](cause_key aKey, time_point aSince) {
     if (const time_point answered = LastAnswer(aBoard, aKey);
         answered != time_point::min() && answered >= aSince &&
@@ -81,8 +82,15 @@
       message.mQuarantined[part] = entry;
     }
   }
-  if (message.mCrashes.empty() && message.mWatched.empty() && message.mAnswered.empty() &&
-      message.mQuarantined.empty()) {
+  for (const auto& [request, crashes] : aBoard.mRequests) {
+    // Told only by those who have the evidence, so that a trial ends once it is cleared.
+    if (crashes.mByServer.size() > 1 && message.mTrials.size() < kMaxItems &&
+        EvidenceAgainst(aBoard, request).mWeight >= aBoard.mOptions.mTrialWeight) {
+      message.mTrials.push_back(request);
+    }
+  }
+  if (message.mTrials.empty() && message.mClaims.empty() && message.mCrashes.empty() &&
+      message.mWatched.empty() && message.mAnswered.empty() && message.mQuarantined.empty()) {
     return std::nullopt;
   }
   return message;
@@ -99,6 +107,9 @@
   for (const cause_key part : aMessage.mWatched) {
     aBoard.mWatched[part] = aNow + kWatchFor;
   }
+  for (const cause_key request : aMessage.mTrials) {
+    aBoard.mTrials[request] = aNow;
+  }
   for (const auto& [part, answered] : aMessage.mAnswered) {
     RecordAnswer(aBoard, { part }, answered);
   }
@@ -125,7 +136,8 @@
       parts.push_back(part.Value());
     }
     crashes.push_back({ crash.mId, crash.mServer, static_cast<int>(crash.mStage),
-                        AgeMs(crash.mAt, aNow), std::move(parts), crash.mRequest.Value() });
+                        AgeMs(crash.mAt, aNow), std::move(parts), crash.mRequest.Value(),
+                        crash.mSent == time_point{} ? -1 : AgeMs(crash.mSent, aNow) });
   }
   json watched = json::array();
   for (const cause_key part : aMessage.mWatched) {
@@ -140,10 +152,21 @@
     const auto term = std::chrono::duration_cast<std::chrono::milliseconds>(entry.mTerm).count();
     quarantined.push_back({ part.Value(), AgeMs(entry.mSince, aNow), term, entry.mIsRequest });
   }
+  json trials = json::array();
+  for (const cause_key request : aMessage.mTrials) {
+    trials.push_back(request.Value());
+  }
+  json claims = json::array();
+  for (const auto& [request, claim] : aMessage.mClaims) {
+    claims.push_back({ request.Value(), claim.mOwner, AgeMs(claim.mSince, aNow),
+                       AgeMs(claim.mSince, claim.mUntil) });
+  }
   const auto bytes = json::to_msgpack(json{ { "crashes", std::move(crashes) },
                                             { "watched", std::move(watched) },
                                             { "answered", std::move(answered) },
-                                            { "quarantined", std::move(quarantined) } });
+                                            { "quarantined", std::move(quarantined) },
+                                            { "trials", std::move(trials) },
+                                            { "claims", std::move(claims) } });
   return { bytes.begin(), bytes.end() };
 }
 
@@ -171,6 +194,10 @@
       if (constexpr std::size_t kRequest = 5; entry.size() > kRequest) {
         crash.mRequest = KeyOf(entry.at(kRequest));
       }
+      if (constexpr std::size_t kSent = 6;
+          entry.size() > kSent && entry.at(kSent).get<std::int64_t>() >= 0) {
+        crash.mSent = TimeOf(entry.at(kSent), aNow);
+      }
       result.mCrashes.push_back(std::move(crash));
     }
     for (const json& part : message.at("watched")) {
@@ -187,6 +214,18 @@
         quarantined.mIsRequest = entry.at(kIsRequest).get<bool>();
       }
     }
+    // Earlier releases know no trials.
+    for (const json& request : message.value("trials", json::array())) {
+      result.mTrials.push_back(KeyOf(request));
+    }
+    for (const json& entry : message.value("claims", json::array())) {
+      const time_point since = TimeOf(entry.at(2), aNow);
+      const auto term = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(entry.at(3).get<std::int64_t>(), 0, kLongestClaim.count()));
+      result.mClaims[KeyOf(entry.at(0))] = { .mOwner = entry.at(1).get<std::uint64_t>(),
+                                             .mSince = since,
+                                             .mUntil = since + term };
+    }
     return result;
   } catch (const json::exception& failure) {
     throw error(error_kind::InvalidInput,
--- a/src/quarantine/crash_message.h
+++ b/src/quarantine/crash_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quarantine/crash_board.h"
+#include "quarantine/trial_claims.h"
 
 #include <optional>
 #include <string>
@@ -18,12 +19,14 @@
   std::vector<cause_key> mWatched;    ///< parts and requests whose answers the sender wants to know
   std::map<cause_key, time_point> mAnswered;
   std::map<cause_key, quarantine_entry> mQuarantined;
+  std::vector<cause_key> mTrials; ///< requests that the sender knows to be on trial
+  trial_claims mClaims;
 };
 
 /// The message to the other instances; absent if it would be empty.
 /// \param aIsReminder whether to include older quarantines, for instances that started after them
 std::optional<crash_message> MakeMessage(const crash_board& aBoard, bool aIsReminder,
-                                         time_point aNow);
+                                         time_point aNow, const trial_claims& aClaims = {});
 
 /// What a message of another instance has changed.
 struct merge_result
@@ -33,7 +36,7 @@
   std::vector<std::pair<cause_key, crash_effect>> mEvidence;
 };
 
-/// Merges a message of another instance.
+/// Merges a message of another instance, but for its claims.
 merge_result ApplyMessage(crash_board& aBoard, const crash_message& aMessage, time_point aNow);
 
 /// Encodes as MessagePack. The result is an object, which tells it from a load message.
