Find crashes under runs that nobody waits for, and of servers that are back at once

Callers that gave up on a lookup, and servers that restart fast, let the lookup crash server after server: a crash counted only if the request was still open, its connection broke, and the server refused another connection at that moment.

A run without a whole answer is now kept, whatever ended it here: its caller left, its time was up, it moved to another server, or the connection broke while the address still accepted. It counts as a crash once the server refuses connections, or once another start or server is listed with, or answers at, its address.

--- a/src/backends/fleet.cpp
+++ b/src/backends/fleet.cpp
@@ -74,6 +74,14 @@
   }
   auto server = std::make_shared<backend_server>();
   server->mAnnounced = aAnnouncement;
+  std::weak_ptr<backend_server>& holder = aFleet.mByAddress[aAnnouncement.mAddress];
+  if (const server_pointer before = holder.lock()) {
+    before->mSeen.mReplacedAt = aNow;
+  }
+  holder = server;
+  if (aFleet.mByAddress.size() > 2 * (aFleet.mServers.size() + 1)) {
+    std::erase_if(aFleet.mByAddress, [](const auto& aEntry) { return aEntry.second.expired(); });
+  }
   const auto leaving = aFleet.mLeaving.find(aAnnouncement.mId);
   server->mSaysItLeaves =
     leaving != aFleet.mLeaving.end() && leaving->second.mStartId == aAnnouncement.mStartId;
@@ -144,6 +152,11 @@
   aServer.mClosedUntil = std::max(aServer.mClosedUntil, aNow + aWait);
 }
 
+time_point EndedAt(const backend_server& aServer)
+{
+  return std::max(aServer.mSeen.mRefusedAt, aServer.mSeen.mReplacedAt);
+}
+
 bool TakesRequests(const backend_server& aServer, time_point aNow)
 {
   return !aServer.mAnnounced.mIsLeaving && !aServer.mSaysItLeaves && aNow >= aServer.mClosedUntil;
@@ -166,8 +179,10 @@
       Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
       aServer.mSeen.mFullAt = aNow;
       break;
-    case attempt_end::Unreachable:
     case attempt_end::WrongServer:
+      aServer.mSeen.mReplacedAt = aNow;
+      [[fallthrough]];
+    case attempt_end::Unreachable:
       Add(aServer.mFailures, 1, kHealthHalfLife, aNow);
       aServer.mSuspectUntil =
         aNow + std::min(kMaxSuspicion, kMinSuspicion * (1 << std::min(aServer.mSuspicions, 3)));
--- a/src/backends/fleet.h
+++ b/src/backends/fleet.h
@@ -90,9 +90,12 @@
   /// Time to a first event against the expected time: logarithms of the ratios, and their number.
   decaying_value mSlowdownSum;
   decaying_value mSlowdownCount;
-  bool mIsProbing = false; ///< a connect without a request is under way
-  time_point mProbedAt{};  ///< when the last one ended
-  int mFailedProbes = 0;   ///< consecutive ones
+  time_point mRefusedAt{};      ///< its machine refused a connection: no process listens
+  time_point mReplacedAt{};     ///< another start of it, or another server, has its address
+  time_point mAnsweredSentAt{}; ///< when the latest request was sent that it has answered
+  bool mIsProbing = false;      ///< a connect without a request is under way
+  time_point mProbedAt{};       ///< when the last one ended
+  int mFailedProbes = 0;        ///< consecutive ones
 };
 
 /// A backend server as this instance sees it.
@@ -140,6 +143,8 @@
   std::map<server_id, leaving_start> mLeaving;
   std::map<server_id, server_pointer> mServers;
   std::unordered_map<service_id, std::vector<server_pointer>> mByService; ///< sorted by id
+  /// The server that was last announced with an address.
+  std::map<boost::asio::ip::tcp::endpoint, std::weak_ptr<backend_server>> mByAddress;
   /// When each version of a service was first seen.
   std::map<std::pair<service_id, version_id>, time_point> mVersions;
 };
@@ -168,6 +173,9 @@
 /// shorter wait does not end a longer one.
 void RecordClosed(backend_server& aServer, duration aWait, time_point aNow);
 
+/// When the process of the server was seen to have ended; default: it was not.
+time_point EndedAt(const backend_server& aServer);
+
 /// Whether neither the list nor an answer of the server rules out new requests to it.
 bool TakesRequests(const backend_server& aServer, time_point aNow);
 
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -357,6 +357,10 @@
   if (outcome.mHeader.mIsMismatched) {
     co_return outcome;
   }
+  if (!outcome.mHeader.mWrongServer) {
+    time_point& answered = outcome.mAttempt->Server().mSeen.mAnsweredSentAt;
+    answered = std::max(answered, sending);
+  }
   RecordWishes(aState, outcome);
   if (outcome.mHeader.mNotRun) {
     --aCall.mRuns;
--- a/src/gateway/crash_reports.cpp
+++ b/src/gateway/crash_reports.cpp
@@ -38,6 +38,41 @@
            : quarantine::run_stage::Streaming;
 }
 
+/// The crash of the attempt's server at `aNow`, if there is one.
+quarantine::crash_record CrashUnder(const gateway_state& aState, const call& aCall,
+                                    const attempt_outcome& aOutcome, time_point aNow)
+{
+  const backends::announcement& server = aOutcome.mAttempt->Server().mAnnounced;
+  const std::uint64_t start =
+    StableHash(server.mId.Value(), static_cast<std::uint64_t>(server.mStartId));
+  return { .mId = StableHash(aCall.mHeader.mAttempt, start),
+           .mServer = start,
+           .mStage = StageOf(aState, aCall, aNow),
+           .mParts = SharedParts(aCall),
+           .mRequest = aCall.mFingerprint,
+           .mAt = aNow,
+           .mSent = aOutcome.mAttempt->Started(),
+           .mIsOwn = true };
+}
+
+/// Records a crash that this instance has seen.
+/// \param aFound for the log: "at_once" or "later"
+void RecordCrash(gateway_state& aState, const quarantine::crash_record& aCrash,
+                 const std::string& aAttempt, const backends::backend_server& aServer,
+                 const char* aFound)
+{
+  const quarantine::crash_effect effect = quarantine::RecordCrash(aState.mCrashes, aCrash);
+  observe::event_line("server_crashed")
+    .Text("request", aAttempt)
+    .Text("server", aServer.mAnnounced.mId.Value())
+    .Text("stage", NameOf(aCrash.mStage))
+    .Text("found", aFound)
+    .Text("fingerprint", ToHex({ aCrash.mRequest }))
+    .Text("parts", ToHex(aCrash.mParts))
+    .Write();
+  ReportEvidence(aState, { { aCrash.mRequest, effect } }, "own");
+}
+
 const char* NameOf(unanswered_end aEnd)
 {
   switch (aEnd) {
@@ -129,12 +164,16 @@
           quarantine::IsQuarantined(aState.mCrashes, SharedParts(aCall), net::Now()));
 }
 
-void ReportUnanswered(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
-                      unanswered_end aEnd)
+void KeepUnanswered(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
+                    unanswered_end aEnd)
 {
   if (aOutcome.mAttempt == nullptr || IsCertainlyNotRun(aOutcome.mResult)) {
     return;
   }
+  Keep(aState.mUnanswered, { .mCrash = CrashUnder(aState, aCall, aOutcome, net::Now()),
+                             .mAttempt = aCall.mHeader.mAttempt,
+                             .mServer = aOutcome.mAttempt->Pointer(),
+                             .mUntil = aCall.mDeadline + kCrashFollowsWithin });
   aState.mMetrics.Count("tamarackweir_runs_unanswered_total", { { "end", NameOf(aEnd) } });
   observe::event_line("run_unanswered")
     .Text("request", aCall.mHeader.mAttempt)
@@ -144,6 +183,17 @@
     .Write();
 }
 
+void RecordFoundCrashes(gateway_state& aState, time_point aNow)
+{
+  const std::vector<unanswered_run> crashed = TakeCrashed(aState.mUnanswered, aNow);
+  for (const unanswered_run& run : crashed) {
+    RecordCrash(aState, run.mCrash, run.mAttempt, *run.mServer, "later");
+  }
+  if (!crashed.empty()) {
+    ShareCrashNews(aState, crash_news::Evidence);
+  }
+}
+
 void ReportEvidence(
   gateway_state& aState,
   const std::vector<std::pair<quarantine::cause_key, quarantine::crash_effect>>& aEvidence,
@@ -161,39 +211,20 @@
 
 net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome)
 {
-  const std::vector<quarantine::cause_key> parts = SharedParts(aCall);
   if (aCall.mIsWithdrawn || aCall.mCaller->IsGone()) {
-    ReportUnanswered(aState, aCall, aOutcome,
-                     aCall.mIsWithdrawn ? unanswered_end::Withdrawn : unanswered_end::CallerLeft);
+    KeepUnanswered(aState, aCall, aOutcome,
+                   aCall.mIsWithdrawn ? unanswered_end::Withdrawn : unanswered_end::CallerLeft);
     co_return;
   }
-  const time_point broken = net::Now();
-  const quarantine::run_stage stage = StageOf(aState, aCall, broken);
+  const quarantine::crash_record crash = CrashUnder(aState, aCall, aOutcome, net::Now());
   const backends::server_pointer& server = aOutcome.mAttempt->Pointer();
   if (co_await AcceptsConnections(server, aCall.mCaller->Executor())) {
-    ReportUnanswered(aState, aCall, aOutcome, unanswered_end::Broken);
+    // Its listener may close a moment later, or belong to another start already.
+    KeepUnanswered(aState, aCall, aOutcome, unanswered_end::Broken);
     co_return;
   }
-  aCall.mCrashes += stage == quarantine::run_stage::JustBegun ? 1 : 0;
-  const std::uint64_t start = StableHash(server->mAnnounced.mId.Value(),
-                                         static_cast<std::uint64_t>(server->mAnnounced.mStartId));
-  const quarantine::crash_effect effect =
-    quarantine::RecordCrash(aState.mCrashes, { .mId = StableHash(aCall.mHeader.mAttempt, start),
-                                               .mServer = start,
-                                               .mStage = stage,
-                                               .mParts = parts,
-                                               .mRequest = aCall.mFingerprint,
-                                               .mAt = broken,
-                                               .mSent = aOutcome.mAttempt->Started(),
-                                               .mIsOwn = true });
-  observe::event_line("server_crashed")
-    .Text("request", aCall.mHeader.mAttempt)
-    .Text("server", server->mAnnounced.mId.Value())
-    .Text("stage", NameOf(stage))
-    .Text("fingerprint", ToHex({ aCall.mFingerprint }))
-    .Text("parts", ToHex(parts))
-    .Write();
-  ReportEvidence(aState, { { aCall.mFingerprint, effect } }, "own");
+  aCall.mCrashes += crash.mStage == quarantine::run_stage::JustBegun ? 1 : 0;
+  RecordCrash(aState, crash, aCall.mHeader.mAttempt, *server, "at_once");
   ShareCrashNews(aState, crash_news::Evidence);
 }
 
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -39,20 +39,23 @@
 /// abandoned runs as soon as it finds that they are, between two steps of its work.
 inline constexpr duration kCrashFollowsWithin = 1s;
 
-/// How a run ended whose server made no whole answer that is known here.
+/// How a run ended without a whole answer.
 enum class unanswered_end
 {
-  Broken,     ///< the connection broke, and the server accepts another one
+  Broken,     ///< the connection broke, and the server's address accepts another one
   TimedOut,   ///< nothing came until the deadline
   Moved,      ///< the request went on at another server
   Withdrawn,  ///< closed here: it was quarantined, or the instance stops
   CallerLeft, ///< closed here
 };
 
-/// Logs and counts the end of a run whose server may yet crash under it. Does nothing for an
-/// attempt that did not reach its server.
-void ReportUnanswered(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
-                      unanswered_end aEnd);
+/// Keeps a run without an answer until it is known whether its server crashed under it. Does
+/// nothing for an attempt that did not reach its server.
+void KeepUnanswered(gateway_state& aState, const call& aCall, const attempt_outcome& aOutcome,
+                    unanswered_end aEnd);
+
+/// Records the crashes of servers that were found since under such runs.
+void RecordFoundCrashes(gateway_state& aState, time_point aNow);
 
 /// Logs and counts what crashes that other instances saw add to the evidence here.
 void ReportEvidence(
--- a/src/gateway/forward_plain.cpp
+++ b/src/gateway/forward_plain.cpp
@@ -28,7 +28,7 @@
       outcome.mExchange->Close();
     }
     if (aCall.mCaller->IsGone()) {
-      ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
+      KeepUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
       LogEnd(aState, aCall, 0, "caller_left");
       co_return;
     }
@@ -40,8 +40,8 @@
     if (outcome.mResult == attempt_result::Broken && outcome.mAttempt != nullptr) {
       co_await CheckForCrash(aState, aCall, outcome);
     } else if (outcome.mResult == attempt_result::TimedOut) {
-      ReportUnanswered(aState, aCall, outcome,
-                       outcome.mIsReplaced ? unanswered_end::Moved : unanswered_end::TimedOut);
+      KeepUnanswered(aState, aCall, outcome,
+                     outcome.mIsReplaced ? unanswered_end::Moved : unanswered_end::TimedOut);
     }
     if (outcome.mIsReplaced || ConsumeRetry(aState, aCall, outcome.mResult)) {
       continue;
--- a/src/gateway/forward_stream.cpp
+++ b/src/gateway/forward_stream.cpp
@@ -214,7 +214,7 @@
       if (outcome.mExchange != nullptr) {
         outcome.mExchange->Close();
       }
-      ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
+      KeepUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
       LogEnd(aState, aCall, 0, "caller_left");
       co_return;
     }
@@ -233,7 +233,7 @@
                outcome.mExchange->Header().result_int() < 300) {
       if (!delivered.mStarted && Escalates(aState, aCall, outcome)) {
         outcome.mExchange->Close();
-        ReportUnanswered(aState, aCall, outcome, unanswered_end::Moved);
+        KeepUnanswered(aState, aCall, outcome, unanswered_end::Moved);
         continue;
       }
       aCall.mExchange = open;
@@ -249,7 +249,7 @@
           outcome.mExchange->Close();
           aCall.mExchange.reset();
           aCall.mCaller->Break();
-          ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
+          KeepUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
           LogEnd(aState, aCall, 0, "caller_lost");
           co_return;
         }
@@ -280,7 +280,7 @@
       }
       if (end == run_end::CallerLeft) {
         aCall.mCaller->Break();
-        ReportUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
+        KeepUnanswered(aState, aCall, outcome, unanswered_end::CallerLeft);
         LogEnd(aState, aCall, 0, "caller_left");
         co_return;
       }
@@ -297,8 +297,8 @@
     if (result == attempt_result::Broken && outcome.mAttempt != nullptr) {
       co_await CheckForCrash(aState, aCall, outcome);
     } else if (result == attempt_result::TimedOut) {
-      ReportUnanswered(aState, aCall, outcome,
-                       outcome.mIsReplaced ? unanswered_end::Moved : unanswered_end::TimedOut);
+      KeepUnanswered(aState, aCall, outcome,
+                     outcome.mIsReplaced ? unanswered_end::Moved : unanswered_end::TimedOut);
     }
     // Without an id to go on from, another run would begin anew.
     const bool mayGoOn = delivered.mEvents == 0 || delivered.mLastEvent.has_value();
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -91,6 +91,7 @@
     const std::size_t instances = mState.mInstances.size();
     const std::size_t slowdown = 1 + instances / kInstancesAtFullRate;
     co_await net::SleepFor(mLoop.get_executor(), kReportInterval * static_cast<int>(slowdown));
+    RecordFoundCrashes(mState, net::Now());
     const bool isFullMesh = instances <= kMaxFullMesh;
     const std::vector<std::string> receivers = Receivers();
     placement::load_message report{ .mInstance = mState.mSelf.mId.Value(),
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -16,6 +16,9 @@
       aFailure == net::asio::error::connection_reset || aFailure == net::asio::error::timed_out ||
       aFailure == net::asio::error::host_unreachable) {
     backends::RecordConnect(aServer, !aFailure, net::Now());
+    if (aFailure == net::asio::error::connection_refused) {
+      aServer.mSeen.mRefusedAt = net::Now();
+    }
   }
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -6,6 +6,7 @@
 #include "cascade/engine_time.h"
 #include "gateway/dialect.h"
 #include "gateway/quantile_estimate.h"
+#include "gateway/unanswered_runs.h"
 #include "net/byte_budget.h"
 #include "observe/metrics.h"
 #include "overload/retry.h"
@@ -128,6 +129,7 @@
   std::unordered_map<std::string, cascade::escalation_record> mEscalations;
   rollout::session_pins mSessions;
   quarantine::crash_board mCrashes;
+  unanswered_runs mUnanswered;
   quarantine::trial_claims mTrialClaims;
   std::function<void(crash_news)> mShareCrashNews; ///< null while there are no other instances
   /// Where plain calls wait for places of servers, by service and version side. Shared with the
