Explain the crashes of a convicted request, and try those beside it alone

The crashes under a quarantined request now convict no other one. The others are on trial: an answer frees them, and a crash of a further server convicts, if the first verdict was wrong.

--- a/src/quarantine/crash_board.cpp
+++ b/src/quarantine/crash_board.cpp
@@ -241,8 +241,10 @@
   const int weight =
     aRecord.mStage == run_stage::Streaming ? options.mOtherWeight : options.mJustBegunWeight;
   const auto [known, isNew] = crashes.try_emplace(
-    aRecord.mServer,
-    request_crash{ .mSent = aRecord.mSent, .mAt = aRecord.mAt, .mWeight = weight });
+    aRecord.mServer, request_crash{ .mSent = aRecord.mSent,
+                                    .mAt = aRecord.mAt,
+                                    .mWeight = weight,
+                                    .mIsExplained = aBoard.mExplained.contains(aRecord.mServer) });
   if (!isNew) {
     // Several instances may have had the request at the server.
     known->second.mAt = std::min(known->second.mAt, aRecord.mAt);
@@ -331,18 +333,37 @@
   std::optional<time_point> begin;
   for (const request_crash& crash : crashes) {
     if (!begin || crash.mAt - *begin >= aBoard.mOptions.mOneEvent || crash.mSent >= *begin) {
-      evidence.mFailedTrial |= evidence.mWeight >= aBoard.mOptions.mTrialWeight;
+      evidence.mFailedTrial |=
+        evidence.mWeight >= aBoard.mOptions.mTrialWeight && !crash.mIsExplained;
       evidence.mSeparateWeight += heaviest;
       begin = crash.mAt;
       heaviest = 0;
     }
-    heaviest = std::max(heaviest, crash.mWeight);
+    heaviest = std::max(heaviest, crash.mIsExplained ? 0 : crash.mWeight);
     evidence.mWeight += crash.mWeight;
   }
   evidence.mSeparateWeight += heaviest;
   return evidence;
 }
 
+void Quarantine(crash_board& aBoard, cause_key aKey, const quarantine_entry& aEntry)
+{
+  aBoard.mQuarantined[aKey] = aEntry;
+  aBoard.mSuspected.erase(aKey);
+  const auto evidence = aBoard.mRequests.extract(aKey);
+  if (evidence.empty()) {
+    return;
+  }
+  for (const auto& [server, crash] : evidence.mapped().mByServer) {
+    aBoard.mExplained[server] = aEntry.mSince;
+  }
+  for (auto& [request, crashes] : aBoard.mRequests) {
+    for (auto& [server, crash] : crashes.mByServer) {
+      crash.mIsExplained |= aBoard.mExplained.contains(server);
+    }
+  }
+}
+
 bool IsOnTrial(const crash_board& aBoard, cause_key aRequest, time_point aNow)
 {
   if (IsQuarantined(aBoard, { aRequest }, aNow)) {
@@ -379,11 +400,10 @@
   const auto before = aBoard.mQuarantined.find(worst->mKey);
   const duration first = worst->mIsRequest ? options.mFirstRequestTerm : options.mFirstTerm;
   const duration term = before == aBoard.mQuarantined.end() ? first : before->second.mTerm * 2;
-  aBoard.mQuarantined[worst->mKey] = { .mSince = aNow,
-                                       .mTerm = std::min(term, options.mLongestTerm),
-                                       .mIsRequest = worst->mIsRequest };
-  aBoard.mSuspected.erase(worst->mKey);
-  aBoard.mRequests.erase(worst->mKey);
+  Quarantine(aBoard, worst->mKey,
+             { .mSince = aNow,
+               .mTerm = std::min(term, options.mLongestTerm),
+               .mIsRequest = worst->mIsRequest });
   return worst->mKey;
 }
 
@@ -395,6 +415,8 @@
   std::erase_if(aBoard.mRequests, [&](const auto& aEntry) {
     return aNow - NewestOf(aEntry.second) > options.mRequestMemory;
   });
+  std::erase_if(aBoard.mExplained,
+                [&](const auto& aEntry) { return aNow - aEntry.second > options.mRequestMemory; });
   std::erase_if(aBoard.mTrials,
                 [&](const auto& aEntry) { return aNow > aEntry.second + options.mTrialMemory; });
   std::erase_if(aBoard.mWatched, [&](const auto& aEntry) { return aNow > aEntry.second; });
--- a/src/quarantine/crash_board.h
+++ b/src/quarantine/crash_board.h
@@ -80,6 +80,7 @@
   time_point mSent{}; ///< default: not known
   time_point mAt{};
   int mWeight = 0;
+  bool mIsExplained = false; ///< a request is quarantined that was on the server as well
 };
 
 /// Crashes under one request, however often and at whichever instance it comes, since its last
@@ -92,8 +93,9 @@
 /// Evidence against one request.
 struct request_evidence
 {
-  int mWeight = 0;           ///< of all crashes, however close together
-  int mSeparateWeight = 0;   ///< the same, but of crashes with one cause only the heaviest counts
+  int mWeight = 0; ///< of all crashes, however close together
+  /// The same, but of crashes with one cause only the heaviest counts, and none that is explained.
+  int mSeparateWeight = 0;
   bool mFailedTrial = false; ///< a server crashed once the request was on trial
 };
 
@@ -115,6 +117,8 @@
   /// when the newer one is full.
   std::unordered_map<cause_key, time_point> mAnsweredRequests;
   std::unordered_map<cause_key, time_point> mEarlierAnsweredRequests;
+  /// Servers that crashed under a request that is quarantined, and when it was.
+  std::unordered_map<std::uint64_t, time_point> mExplained;
   std::map<cause_key, time_point> mSuspected; ///< time since which it is suspected
   std::map<cause_key, quarantine_entry> mQuarantined;
   /// Parts and requests whose answers another instance wants to know, and until when.
@@ -157,6 +161,10 @@
 /// one of the servers began after the first crash.
 request_evidence EvidenceAgainst(const crash_board& aBoard, cause_key aRequest);
 
+/// Quarantines a request or part, and drops the evidence against it. The crashes under a request
+/// convict no other request that was on the same servers, but such a one is put on trial.
+void Quarantine(crash_board& aBoard, cause_key aKey, const quarantine_entry& aEntry);
+
 /// Whether the request is run alone, one run at a time on all instances: three servers crashed
 /// under it, perhaps at one moment, or its quarantine has just ended. A complete answer ends it,
 /// and a crash of a run alone is not a coincidence.
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -360,3 +360,23 @@
   }
   CHECK(board.mRequests.contains(kRequest));
 }
+
+// Guards against refusing a sound request for as long as the one that crashed its servers.
+TEST_CASE("a request that was on the same servers as a convicted one is run alone, not refused")
+{
+  const cause_key sound(78);
+  crash_board board;
+  for (int i = 0; i < 3; ++i) {
+    RecordCrash(board, RequestCrash(i, kStart + i * 1s, kRequest));
+    RecordCrash(board, RequestCrash(i, kStart + i * 1s, sound));
+  }
+  RecordCrash(board, RequestCrash(3, kStart + 3s, kRequest));
+  REQUIRE(QuarantineInTime(board, kStart + 4s) == kRequest);
+  CHECK_FALSE(QuarantineInTime(board, kStart + 5s));
+  CHECK(IsOnTrial(board, sound, kStart + 6s));
+  // A report that comes later does not convict it either, but a crash of another server does.
+  RecordCrash(board, RequestCrash(3, kStart + 3s, sound));
+  CHECK_FALSE(QuarantineInTime(board, kStart + 6s));
+  RecordCrash(board, RequestCrash(4, kStart + 7s, sound));
+  CHECK(QuarantineWorstSuspect(board, kStart + 7s) == sound);
+}
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -118,8 +118,7 @@
     if (known != aBoard.mQuarantined.end() && known->second.mTerm >= entry.mTerm) {
       continue;
     }
-    aBoard.mQuarantined[part] = entry;
-    aBoard.mRequests.erase(part);
+    Quarantine(aBoard, part, entry);
     if (IsQuarantined(aBoard, { part }, aNow)) {
       result.mQuarantined.push_back(part);
     }
