Tell every crash, and tell instances that start of the crashes before them

A loaded server breaks hundreds of requests at once, and a message had room for 200 of them, so that the others never left their instance. And the crashes under a request lived as long as the instances that were there: one that started between two of them, as the next aggregator does, began to count anew.

A message goes out in as many datagrams as it takes, and the reminders of each second repeat the crashes under suspected requests, whoever saw them.

--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -110,9 +110,7 @@
       if (const auto peer = mPeers.find(receivers[i]); peer != mPeers.end()) {
         report.mAsksForTotals = !isFullMesh && mRounds % receivers.size() == i;
         Send(placement::Encode(report, net::Now()), peer->second);
-        if (crashes) {
-          Send(*crashes, peer->second);
-        }
+        SendCrashes(crashes, peer->second);
         if (isReminder) {
           speeds.mAsksForPooled = !isFullMesh && mRounds / kReminderRounds % receivers.size() == i;
           Send(placement::Encode(speeds), peer->second);
@@ -193,9 +191,7 @@
                                            .mLoads = std::move(totals),
                                            .mSeen = PooledObservations(now) };
       Send(placement::Encode(reply, now), aSender);
-      if (const auto crashes = EncodedCrashes(true)) {
-        Send(*crashes, aSender);
-      }
+      SendCrashes(EncodedCrashes(true), aSender);
     }
   } catch (const error& failure) {
     observe::event_line("load_unreadable").Text("reason", failure.what()).Write();
@@ -239,28 +235,36 @@
 void load_exchange::ShareCrashNews(crash_news aNews)
 {
   const auto crashes = EncodedCrashes(false);
-  if (!crashes || !mSocket.is_open()) {
+  if (!mSocket.is_open()) {
     return;
   }
   if (aNews == crash_news::Decision) {
     for (const auto& [id, address] : mPeers) {
-      Send(*crashes, address);
+      SendCrashes(crashes, address);
     }
     return;
   }
   for (const std::string& id : Receivers()) {
     if (const auto peer = mPeers.find(id); peer != mPeers.end()) {
-      Send(*crashes, peer->second);
+      SendCrashes(crashes, peer->second);
     }
   }
 }
 
-std::optional<std::string> load_exchange::EncodedCrashes(bool aIsReminder) const
+void load_exchange::SendCrashes(const std::vector<std::string>& aDatagrams,
+                                const datagram_endpoint& aTo)
+{
+  for (const std::string& datagram : aDatagrams) {
+    Send(datagram, aTo);
+  }
+}
+
+std::vector<std::string> load_exchange::EncodedCrashes(bool aIsReminder) const
 {
   const time_point now = net::Now();
   const auto message =
     quarantine::MakeMessage(mState.mCrashes, aIsReminder, now, mState.mTrialClaims);
-  return message ? std::optional(quarantine::Encode(*message, now)) : std::nullopt;
+  return message ? quarantine::EncodeInParts(*message, now) : std::vector<std::string>();
 }
 
 void load_exchange::Send(const std::string& aBytes, const datagram_endpoint& aTo)
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -58,8 +58,10 @@
   void ShareCrashNews(crash_news aNews);
   /// Those who decide by the reports of all instances.
   std::vector<std::string> Receivers() const;
-  /// The encoded crash message; absent if it would be empty.
-  std::optional<std::string> EncodedCrashes(bool aIsReminder) const;
+  /// Sends what is known of crashes, if anything is.
+  void SendCrashes(const std::vector<std::string>& aDatagrams, const datagram_endpoint& aTo);
+  /// The crash message as datagrams; none if it would be empty.
+  std::vector<std::string> EncodedCrashes(bool aIsReminder) const;
 
   net::asio::io_context& mLoop;
   gateway_state& mState;
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -380,3 +380,46 @@
   RecordCrash(board, RequestCrash(4, kStart + 7s, sound));
   CHECK(QuarantineWorstSuspect(board, kStart + 7s) == sound);
 }
+
+// Guards against reports that never leave because a loaded server broke many requests at once.
+TEST_CASE("all of very many crashes reach another instance")
+{
+  crash_board board;
+  constexpr int kCrashes = 500;
+  for (int i = 0; i < kCrashes; ++i) {
+    crash_record crash = RequestCrash(1, kStart, cause_key(1000 + i));
+    crash.mParts = { kCommon, kDeadly, cause_key(i) };
+    RecordCrash(board, crash);
+  }
+  const auto message = MakeMessage(board, false, kStart + 1s);
+  REQUIRE(message);
+  crash_board other;
+  for (const std::string& part : EncodeInParts(*message, kStart + 1s)) {
+    CHECK(part.size() < 16'000);
+    ApplyMessage(other, DecodeCrashes(part, kStart + 1s), kStart + 1s);
+  }
+  CHECK(other.mRequests.size() == kCrashes);
+}
+
+// Guards against evidence that dies with its witness, or that an instance is too young to have.
+TEST_CASE("an instance that starts after two crashes learns of them from any other one")
+{
+  crash_board witness;
+  RecordCrash(witness, RequestCrash(0, kStart, kRequest));
+  RecordCrash(witness, RequestCrash(1, kStart + 1s, kRequest));
+  crash_board heard;
+  const auto report = MakeMessage(witness, false, kStart + 1s);
+  REQUIRE(report);
+  ApplyMessage(heard, DecodeCrashes(Encode(*report, kStart + 1s), kStart + 1s), kStart + 1s);
+  CHECK_FALSE(QuarantineWorstSuspect(heard, kStart + 1s));
+
+  const time_point later = kStart + 1min;
+  RemoveExpired(heard, later);
+  CHECK_FALSE(QuarantineWorstSuspect(heard, later));
+  const auto reminder = MakeMessage(heard, true, later);
+  REQUIRE(reminder);
+  crash_board young;
+  ApplyMessage(young, DecodeCrashes(Encode(*reminder, later), later), later);
+  RecordCrash(young, RequestCrash(2, later + 1s, kRequest));
+  CHECK(QuarantineInTime(young, later + 1s) == kRequest);
+}
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -14,8 +14,37 @@
 constexpr duration kRepeatFor =
   2s; ///< a crash is sent again until then, since datagrams may be lost
 constexpr std::chrono::milliseconds kLongestClaim = std::chrono::minutes(1);
-constexpr duration kWatchFor = 3s;     ///< a watched part expires unless it is asked for again
-constexpr std::size_t kMaxItems = 200; ///< of each kind in a message, to fit into a datagram
+constexpr duration kWatchFor = 3s; ///< a watched part expires unless it is asked for again
+
+/// The part of a list or map that goes into one datagram.
+template<class Container>
+Container PartOf(const Container& aAll, std::size_t aPart)
+{
+  const std::size_t begin = std::min(aAll.size(), aPart * kMaxItems);
+  const std::size_t end = std::min(aAll.size(), begin + kMaxItems);
+  return Container(std::next(aAll.begin(), static_cast<std::ptrdiff_t>(begin)),
+                   std::next(aAll.begin(), static_cast<std::ptrdiff_t>(end)));
+}
+
+/// Adds the crashes under a request as records, whoever saw them.
+void AddCrashes(crash_message& aMessage, const crash_board& aBoard, cause_key aRequest)
+{
+  constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15; // makes the ids of two servers differ
+  const auto found = aBoard.mRequests.find(aRequest);
+  if (found == aBoard.mRequests.end()) {
+    return;
+  }
+  for (const auto& [server, crash] : found->second.mByServer) {
+    aMessage.mCrashes.push_back({ .mId = aRequest.Value() ^ (server * kSpread),
+                                  .mServer = server,
+                                  .mStage = crash.mWeight >= aBoard.mOptions.mJustBegunWeight
+                                              ? run_stage::JustBegun
+                                              : run_stage::Streaming,
+                                  .mRequest = aRequest,
+                                  .mAt = crash.mAt,
+                                  .mSent = crash.mSent });
+  }
+}
 
 std::int64_t AgeMs(time_point aAt, time_point aNow)
 {
@@ -56,20 +85,20 @@
   crash_message message{ .mClaims = aClaims };
   const auto addAnswer = [&](cause_key aKey, time_point aSince) {
     if (const time_point answered = LastAnswer(aBoard, aKey);
-        answered != time_point::min() && answered >= aSince &&
-        message.mAnswered.size() < kMaxItems) {
+        answered != time_point::min() && answered >= aSince) {
       message.mAnswered.emplace(aKey, answered);
     }
   };
   for (const auto& [id, record] : aBoard.mRecords) {
-    if (record.mIsOwn && aNow - record.mAt < kRepeatFor && message.mCrashes.size() < kMaxItems) {
+    if (record.mIsOwn && aNow - record.mAt < kRepeatFor) {
       message.mCrashes.push_back(record);
     }
   }
   for (const auto& [part, since] : aBoard.mSuspected) {
     addAnswer(part, {});
-    if (message.mWatched.size() < kMaxItems) {
-      message.mWatched.push_back(part);
+    message.mWatched.push_back(part);
+    if (aIsReminder) {
+      AddCrashes(message, aBoard, part);
     }
   }
   for (const auto& [part, until] : aBoard.mWatched) {
@@ -77,14 +106,13 @@
   }
   for (const auto& [part, entry] : aBoard.mQuarantined) {
     addAnswer(part, entry.mSince);
-    if ((aIsReminder || aNow - entry.mSince < kRepeatFor) &&
-        message.mQuarantined.size() < kMaxItems) {
+    if (aIsReminder || aNow - entry.mSince < kRepeatFor) {
       message.mQuarantined[part] = entry;
     }
   }
   for (const auto& [request, crashes] : aBoard.mRequests) {
     // Told only by those who have the evidence, so that a trial ends once it is cleared.
-    if (crashes.mByServer.size() > 1 && message.mTrials.size() < kMaxItems &&
+    if (crashes.mByServer.size() > 1 &&
         EvidenceAgainst(aBoard, request).mWeight >= aBoard.mOptions.mTrialWeight) {
       message.mTrials.push_back(request);
     }
@@ -169,6 +197,25 @@
   return { bytes.begin(), bytes.end() };
 }
 
+std::vector<std::string> EncodeInParts(const crash_message& aMessage, time_point aNow)
+{
+  const std::size_t most =
+    std::max({ aMessage.mCrashes.size(), aMessage.mWatched.size(), aMessage.mAnswered.size(),
+               aMessage.mQuarantined.size(), aMessage.mTrials.size(), aMessage.mClaims.size() });
+  const std::size_t parts = std::min(kMaxParts, (most + kMaxItems - 1) / kMaxItems);
+  std::vector<std::string> encoded;
+  for (std::size_t i = 0; i < parts; ++i) {
+    encoded.push_back(Encode({ .mCrashes = PartOf(aMessage.mCrashes, i),
+                               .mWatched = PartOf(aMessage.mWatched, i),
+                               .mAnswered = PartOf(aMessage.mAnswered, i),
+                               .mQuarantined = PartOf(aMessage.mQuarantined, i),
+                               .mTrials = PartOf(aMessage.mTrials, i),
+                               .mClaims = PartOf(aMessage.mClaims, i) },
+                             aNow));
+  }
+  return encoded;
+}
+
 bool IsCrashMessage(std::string_view aBytes)
 {
   constexpr unsigned kSmallMap = 0x80; // MessagePack: a map with up to 15 members
--- a/src/quarantine/crash_message.h
+++ b/src/quarantine/crash_message.h
@@ -24,7 +24,8 @@
 };
 
 /// The message to the other instances; absent if it would be empty.
-/// \param aIsReminder whether to include older quarantines, for instances that started after them
+/// \param aIsReminder whether to include older quarantines and the crashes under suspected
+/// requests, for instances that started after them
 std::optional<crash_message> MakeMessage(const crash_board& aBoard, bool aIsReminder,
                                          time_point aNow, const trial_claims& aClaims = {});
 
@@ -42,6 +43,14 @@
 /// Encodes as MessagePack. The result is an object, which tells it from a load message.
 std::string Encode(const crash_message& aMessage, time_point aNow);
 
+/// Entries of each kind in a datagram.
+inline constexpr std::size_t kMaxItems = 60;
+/// Datagrams for one message; what does not fit is sent once the other entries are old.
+inline constexpr std::size_t kMaxParts = 16;
+
+/// Encodes a message as parts that fit into a datagram each.
+std::vector<std::string> EncodeInParts(const crash_message& aMessage, time_point aNow);
+
 /// Whether the bytes are a crash message rather than a load message.
 bool IsCrashMessage(std::string_view aBytes);
 
