Take no answer without a length as whole while its upload is under way

A server that answers a long upload at once without a length, half-closes the connection and resets it during the upload: callers of the gateway got the part as a complete answer, as the end of the stream comes in order before the reset. Such an answer is now complete only once the server has acknowledged the whole request, and not if the connection has failed when the server was asked whether it still runs.

--- a/src/gateway/answer_end.cpp
+++ b/src/gateway/answer_end.cpp
@@ -54,7 +54,8 @@
   const time_point end = std::min(asked + kStatementLimit, aCall.mDeadline);
   if (service == aCall.mRoutes->mServices.end() || service->second.mStatementTarget.empty()) {
     const bool accepts =
-      co_await AcceptsConnections(aOutcome.mAttempt->Pointer(), aCall.mCaller->Executor());
+      co_await AcceptsConnections(aOutcome.mAttempt->Pointer(), aCall.mCaller->Executor()) &&
+      !aOutcome.mExchange->HasFailed();
     observe::event_line("answer_end")
       .Text("request", aCall.mHeader.mAttempt)
       .Text("server", server.mId.Value())
@@ -82,12 +83,15 @@
   } while (net::Now() < end && !aCall.mCaller->IsGone());
   // A busy server that has taken the question and has no time for it still runs.
   const bool isBusy = answer.mMayBeDone && answer.mFailure == net::asio::error::timed_out;
+  const bool isReset = aOutcome.mExchange->HasFailed();
   const bool isCertain =
-    isBusy || (!answer.mFailure && IsSameStart(aState.mDialect.mReadStatement(answer), server));
+    !isReset &&
+    (isBusy || (!answer.mFailure && IsSameStart(aState.mDialect.mReadStatement(answer), server)));
   observe::event_line("answer_end")
     .Text("request", aCall.mHeader.mAttempt)
     .Text("server", server.mId.Value())
     .Flag("certain", isCertain)
+    .Flag("reset", isReset)
     .Text("reason", answer.mFailure ? answer.mFailure.message() : "")
     .Number("status", answer.mStatus)
     .Millis("ms", net::Now() - asked)
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -5,10 +5,13 @@
 #include "net/message_reader.h"
 #include "net/watchdog.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 #include <limits>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace tamarackweir::net {
 
@@ -99,13 +102,17 @@
 void exchange::Write(std::shared_ptr<const Request> aRequest)
 {
   mIsSent = true;
+  mIsWriting = true;
   mIsHead = aRequest->method() == http::verb::head;
   mSilenceWatch.Start();
   // A failed write also fails the read that is pending, or leaves an answer to be read.
   const Request& request = *aRequest;
-  http::async_write(mSocket, request,
-                    [self = shared_from_this(), kept = std::move(aRequest)](
-                      error_code aFailure, std::size_t) { self->mWriteFailure = aFailure; });
+  http::async_write(
+    mSocket, request,
+    [self = shared_from_this(), kept = std::move(aRequest)](error_code aFailure, std::size_t) {
+      self->mWriteFailure = aFailure;
+      self->mIsWriting = false;
+    });
 }
 
 void exchange::StartParser()
@@ -154,6 +161,31 @@
   }
 }
 
+bool exchange::HasUnacknowledged()
+{
+  int bytes = 0;
+  return mIsWriting || (ioctl(mSocket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0);
+}
+
+task<error_code> exchange::AwaitAcknowledged(time_point aEnd)
+{
+  constexpr duration kLongestPause = 50ms;
+  for (duration pause = 1ms; !HasFailed() && HasUnacknowledged();
+       pause = std::min(2 * pause, kLongestPause)) {
+    const duration left = aEnd - Now();
+    if (left <= duration::zero()) {
+      co_return asio::error::timed_out;
+    }
+    mTimer.expires_after(std::min(left, pause));
+    error_code ignoredCancel;
+    co_await mTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignoredCancel));
+  }
+  if (mHasFailed && !mWriteFailure) {
+    co_return asio::error::connection_reset;
+  }
+  co_return mWriteFailure;
+}
+
 error_code exchange::Parse(std::string& aOut)
 {
   std::array<char, kReadBytes> chunk;
@@ -217,8 +249,9 @@
     }
     error_code failure = co_await Fill(end);
     if (failure == asio::error::eof) {
-      // Linux reports a reset once; the write of the request may have taken it.
-      failure = mWriteFailure;
+      // Linux reports a reset once; the write of the request may have taken it, or it may follow.
+      failure =
+        mFraming == body_framing::Connection ? co_await AwaitAcknowledged(end) : mWriteFailure;
       if (!failure) {
         mParser->put_eof(failure);
       }
@@ -254,6 +287,16 @@
   co_return failure;
 }
 
+bool exchange::HasFailed()
+{
+  error_code failure;
+  asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> pending;
+  mSocket.get_option(pending, failure);
+  // The system reports a failure once.
+  mHasFailed = mHasFailed || mWriteFailure || failure || pending.value() != 0;
+  return mHasFailed;
+}
+
 void exchange::Close()
 {
   error_code ignoredAsClosedAnyway;
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -65,7 +65,8 @@
 
   /// Appends what arrives next of the body to `aOut`. Returns without an error and with
   /// `IsComplete` once the whole body was read; a body without a length is complete at the orderly
-  /// end of the connection only. After `timed_out` the call may be repeated to wait on.
+  /// end of the connection only, and once the server has the request, as a reset may follow. After
+  /// `timed_out` the call may be repeated to wait on.
   task<error_code> ReadSome(std::string& aOut, duration aLimit);
 
   /// Reads the rest of the body, at most `aMaxBytes`, in `aLimit` altogether. Returns
@@ -80,6 +81,8 @@
 
   /// What marks the end of the body; valid after `ReadHeader`.
   body_framing Framing() const { return mFraming; }
+  /// Whether the connection has failed; a reset may follow the orderly end of a body.
+  bool HasFailed();
   /// Why writing the request failed, if it did.
   const error_code& WriteFailure() const { return mWriteFailure; }
 
@@ -94,6 +97,10 @@
   /// Waits until `aEnd` for bytes, and takes them into the buffer. Returns `buffer_overflow` when
   /// it already holds `kMaxUnparsedBytes`.
   task<error_code> Fill(time_point aEnd);
+  /// Waits until the server has acknowledged the request. Returns the failure of the connection, or
+  /// `timed_out`.
+  task<error_code> AwaitAcknowledged(time_point aEnd);
+  bool HasUnacknowledged();
   /// Gives the buffered bytes to the parser. Returns `need_more` when it needs others.
   error_code Parse(std::string& aOut);
 
@@ -106,7 +113,9 @@
   std::optional<http::response_parser<http::buffer_body>> mParser;
   body_framing mFraming = body_framing::None;
   error_code mWriteFailure;
-  bool mIsSent = false; ///< a request, or a part of it
+  bool mIsWriting = false; ///< the request has not left whole
+  bool mHasFailed = false; ///< as `HasFailed` has seen
+  bool mIsSent = false;    ///< a request, or a part of it
   bool mIsHead = false;
 };
 
