Take no answer with a status below 100

An answer with the status 000 was skipped like an interim one, and its body read as the next answer: callers of both daemons got an answer that a server had put there. A status below 100, or 101, which nobody asks for, is now an error.

--- a/src/entry/early_answers_test.cpp
+++ b/src/entry/early_answers_test.cpp
@@ -45,3 +45,17 @@
 {
   CHECK(CallEarly("HTTP/1.1 200 OK\r\n\r\npart", kUpload).mEnd == call_end::Broken);
 }
+
+// Guards against an answer that is none, and against one that is made of its body.
+TEST_CASE("an answer with a status below 100 counts as broken, whatever its body is")
+{
+  const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const char* const status : { "000", "099" }) {
+    const call_result result =
+      CallEarly(std::string("HTTP/1.1 ") + status +
+                  " X\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner,
+                100);
+    CHECK(result.mEnd == call_end::Broken);
+    CHECK(result.mStatus == 0);
+  }
+}
--- a/src/net/early_answer_test.cpp
+++ b/src/net/early_answer_test.cpp
@@ -131,3 +131,21 @@
   CHECK(seen.mStatus == 200);
   CHECK(seen.mBody == "part");
 }
+
+// Guards against an answer that is no answer, and against the next one, made of its body.
+TEST_CASE("an answer with a status below 100 is an error, whatever follows it")
+{
+  for (const char* const status : { "000", "001", "099", "101" }) {
+    for (const char* const rest :
+         { "Content-Length: 4\r\n\r\ntext", "\r\n\r\ntext",
+           "Content-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" }) {
+      CAPTURE(status);
+      CAPTURE(rest);
+      const seen_answer seen =
+        Play({ .mEnd = early_end::HalfCloseAndRead,
+               .mBytes = std::string("HTTP/1.1 ") + status + " X\r\n" + rest });
+      CHECK(seen.mFailure == http::error::bad_status);
+      CHECK(seen.mStatus == 0);
+    }
+  }
+}
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -219,7 +219,11 @@
       co_return failure;
     }
     if (mParser->is_header_done()) {
-      if (mParser->get().result_int() >= 200) {
+      const unsigned status = mParser->get().result_int();
+      if (status < 100 || mParser->get().result() == http::status::switching_protocols) {
+        co_return http::error::bad_status;
+      }
+      if (status >= 200) {
         mFraming = FramingOf(*mParser);
         co_return HasKnownEnd(mParser->get().base()) ? error_code{}
                                                      : http::error::bad_transfer_encoding;
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -60,7 +60,8 @@
 
   /// Reads the start line and the header of the answer; interim answers (1xx) are skipped. After
   /// `timed_out` the exchange is as before, and the call may be repeated to wait on. Returns
-  /// `bad_transfer_encoding` for a body in a coding other than `chunked`.
+  /// `bad_transfer_encoding` for a body in a coding other than `chunked`, and `bad_status` for a
+  /// status below 100 or a change of the protocol, which was not asked for.
   task<error_code> ReadHeader(duration aLimit);
 
   /// Appends what arrives next of the body to `aOut`. Returns without an error and with
