Keep what a closed connection showed of its failure

A failure of a server without a length was answered 502 instead of being passed on: its connection is closed before the server is asked whether it still runs, and a closed socket counted as a failed one. Found by the whole suite, one test of platform stream_end.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -293,6 +293,9 @@
 
 bool exchange::HasFailed()
 {
+  if (!mSocket.is_open()) {
+    return mHasFailed;
+  }
   error_code failure;
   asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> pending;
   mSocket.get_option(pending, failure);
@@ -303,6 +306,9 @@
 
 void exchange::Close()
 {
+  if (mFraming == body_framing::Connection) {
+    (void)HasFailed(); // It may be asked for later.
+  }
   error_code ignoredAsClosedAnyway;
   if (mIsSent && !IsComplete()) {
     mSocket.set_option(tcp::socket::linger(true, 0), ignoredAsClosedAnyway);
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -82,7 +82,8 @@
 
   /// What marks the end of the body; valid after `ReadHeader`.
   body_framing Framing() const { return mFraming; }
-  /// Whether the connection has failed; a reset may follow the orderly end of a body.
+  /// Whether the connection failed before it was closed here; a reset may follow the orderly end of
+  /// a body without a length.
   bool HasFailed();
   /// Why writing the request failed, if it did.
   const error_code& WriteFailure() const { return mWriteFailure; }
