Send decisions without the evidence, and the crashes of one moment together

Found by reading: a claim went to all instances with everything that is told of crashes, and each of the requests that broke with a server sent its own report, with those of the others. At 90 instances that fills the links of small ones. Decisions now leave with claims, trials and quarantines alone, and crashes are collected for 10 ms. A run that is refused because its request was quarantined meanwhile says so, without a time to return.

--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -8,6 +8,8 @@
 #include "observe/event_log.h"
 #include "quarantine/crash_message.h"
 
+#include <utility>
+
 namespace tamarackweir::gateway {
 
 namespace {
@@ -21,6 +23,8 @@
 /// An aggregator answers many instances with the same pooled observations. Pooling takes 1.8 ms of
 /// CPU time at 300 instances that each report 64 servers.
 constexpr duration kPooledAnewAfter = 100ms;
+/// All requests at a server that crashes break in this time, and are reported together.
+constexpr duration kCollectEvidence = 10ms;
 
 /// Logs and counts the servers that became unreachable or reachable for all instances.
 void ReportChanges(gateway_state& aState, const std::vector<backends::view_change>& aChanges)
@@ -234,16 +238,31 @@
 
 void load_exchange::ShareCrashNews(crash_news aNews)
 {
-  const auto crashes = EncodedCrashes(false);
-  if (!mSocket.is_open()) {
+  if (aNews == crash_news::Evidence) {
+    if (!std::exchange(mWillSendEvidence, true)) {
+      net::Spawn(mLoop.get_executor(), "crash_evidence", SendEvidence());
+    }
     return;
   }
-  if (aNews == crash_news::Decision) {
-    for (const auto& [id, address] : mPeers) {
-      SendCrashes(crashes, address);
-    }
+  const time_point now = net::Now();
+  const auto message = quarantine::MakeMessage(mState.mCrashes, false, now, mState.mTrialClaims);
+  if (!message || !mSocket.is_open()) {
     return;
   }
+  const auto decisions = quarantine::EncodeInParts({ .mQuarantined = message->mQuarantined,
+                                                     .mTrials = message->mTrials,
+                                                     .mClaims = message->mClaims },
+                                                   now);
+  for (const auto& [id, address] : mPeers) {
+    SendCrashes(decisions, address);
+  }
+}
+
+net::task<> load_exchange::SendEvidence()
+{
+  co_await net::SleepFor(mLoop.get_executor(), kCollectEvidence);
+  mWillSendEvidence = false;
+  const auto crashes = EncodedCrashes(false);
   for (const std::string& id : Receivers()) {
     if (const auto peer = mPeers.find(id); peer != mPeers.end()) {
       SendCrashes(crashes, peer->second);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -56,6 +56,7 @@
   void Send(const std::string& aBytes, const datagram_endpoint& aTo);
   /// Tells other instances at once what is known of crashes.
   void ShareCrashNews(crash_news aNews);
+  net::task<> SendEvidence();
   /// Those who decide by the reports of all instances.
   std::vector<std::string> Receivers() const;
   /// Sends what is known of crashes, if anything is.
@@ -72,6 +73,7 @@
   backends::observations mPooled; ///< as of `mPooledAt`
   time_point mPooledAt{};
   std::size_t mRounds = 0;
+  bool mWillSendEvidence = false;
 };
 
 } // namespace tamarackweir::gateway
--- a/src/gateway/trial.cpp
+++ b/src/gateway/trial.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "gateway/crash_reports.h"
+#include "gateway/early_refusal.h"
 #include "observe/event_log.h"
 
 namespace tamarackweir::gateway {
@@ -63,8 +64,10 @@
   LogTrial(aState, aCall, "claimed");
   ShareCrashNews(aState, crash_news::Decision);
   co_await net::SleepFor(aCall.mCaller->Executor(), quarantine::kClaimWait);
-  if (IsQuarantined(aState, aCall) ||
-      !quarantine::HoldsClaim(aState.mTrialClaims, aCall.mFingerprint, owner, net::Now())) {
+  if (auto quarantined = RefusalIfQuarantined(aState, aCall)) {
+    co_return aCall.mRuns > 0 ? TrialRefusal(aState, aCall) : *quarantined;
+  }
+  if (!quarantine::HoldsClaim(aState.mTrialClaims, aCall.mFingerprint, owner, net::Now())) {
     aCall.mHoldsTrial = false;
     co_return TrialRefusal(aState, aCall);
   }
