Tell trials only where the answers that end them are told

Found by reading: above 16 instances one that saw three crashes itself would go on telling of a trial that answers at other instances had ended, for up to ten minutes. Now those tell who ask for answers.

--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -23,7 +23,7 @@
 bool IsQuarantined(const gateway_state& aState, const call& aCall);
 
 /// After the connection of an attempt broke: records a crash of its server, if the server no longer
-/// accepts connections.
+/// accepts connections, and keeps the run as unanswered otherwise.
 net::task<> CheckForCrash(gateway_state& aState, call& aCall, const attempt_outcome& aOutcome);
 
 /// Records that the call got a complete answer, which clears it and the parts of its prompt.
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -332,6 +332,7 @@
     RecordCrash(board, RequestCrash(i, kStart, kRequest));
   }
   const time_point now = kStart + 5s;
+  CHECK_FALSE(QuarantineWorstSuspect(board, now));
   const trial_claims claims{ { kRequest, { .mOwner = 3, .mSince = now, .mUntil = now + 2s } } };
   const auto message = MakeMessage(board, false, now, claims);
   REQUIRE(message);
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -110,10 +110,9 @@
       message.mQuarantined[part] = entry;
     }
   }
-  for (const auto& [request, crashes] : aBoard.mRequests) {
-    // Told only by those who have the evidence, so that a trial ends once it is cleared.
-    if (crashes.mByServer.size() > 1 &&
-        EvidenceAgainst(aBoard, request).mWeight >= aBoard.mOptions.mTrialWeight) {
+  // Told only by those who decide, as they are told of the answers that end a trial.
+  for (const auto& [request, since] : aBoard.mSuspected) {
+    if (EvidenceAgainst(aBoard, request).mWeight >= aBoard.mOptions.mTrialWeight) {
       message.mTrials.push_back(request);
     }
   }
