--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -67,7 +67,7 @@
   double mLinkMbps = 0; ///< bandwidth of the machine's link; 0: not known
 };
 
-/// What other instances are told at once, rather than with the next load report.
+/// What is sent to other instances at once, rather than with the next load report.
 enum class crash_news
 {
   Evidence, ///< a crash; for those who decide by it
--- a/src/gateway/unanswered_runs.h
+++ b/src/gateway/unanswered_runs.h
@@ -22,7 +22,7 @@
   std::vector<unanswered_run> mRuns; ///< oldest first
 };
 
-inline constexpr std::size_t kMaxUnansweredRuns = 1024; ///< beyond it the oldest are forgotten
+inline constexpr std::size_t kMaxUnansweredRuns = 1024; ///< beyond it the oldest are dropped
 
 /// How late a crash is found: the entry of a server that crashed lapses after several seconds, and
 /// it is back later still.
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -177,7 +177,7 @@
       co_return asio::error::timed_out;
     }
     mTimer.expires_after(std::min(left, pause));
-    error_code ignoredCancel;
+    error_code ignoredCancel; // The loop looks at the connection again.
     co_await mTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignoredCancel));
   }
   if (mHasFailed && !mWriteFailure) {
--- a/src/quarantine/crash_board.h
+++ b/src/quarantine/crash_board.h
@@ -62,7 +62,7 @@
   duration mRequestMemory = std::chrono::minutes(10);
   std::size_t mMaxRequests = 4096;       ///< whose crashes, or answers, are remembered
   std::size_t mMaxCrashesOfRequest = 16; ///< the newest ones are remembered
-  duration mTrialMemory = 3s; ///< a trial that another instance tells of, unless it is told again
+  duration mTrialMemory = 3s;            ///< of a trial since its last report by a peer
 };
 
 /// Requests with the part, or the request itself, are refused for `mTerm`. Then it is on probation
@@ -123,7 +123,7 @@
   std::map<cause_key, quarantine_entry> mQuarantined;
   /// Parts and requests whose answers another instance wants to know, and until when.
   std::unordered_map<cause_key, time_point> mWatched;
-  /// Requests that another instance has told to be on trial, and when.
+  /// Requests that a peer reported as on trial, and when.
   std::unordered_map<cause_key, time_point> mTrials;
 };
 
@@ -162,7 +162,7 @@
 request_evidence EvidenceAgainst(const crash_board& aBoard, cause_key aRequest);
 
 /// Quarantines a request or part, and drops the evidence against it. The crashes under a request
-/// convict no other request that was on the same servers, but such a one is put on trial.
+/// quarantine no other request that was on the same servers; that one is put on trial.
 void Quarantine(crash_board& aBoard, cause_key aKey, const quarantine_entry& aEntry);
 
 /// Whether the request is run alone, one run at a time on all instances: three servers crashed
--- a/src/quarantine/crash_board_test.cpp
+++ b/src/quarantine/crash_board_test.cpp
@@ -375,7 +375,7 @@
   REQUIRE(QuarantineInTime(board, kStart + 4s) == kRequest);
   CHECK_FALSE(QuarantineInTime(board, kStart + 5s));
   CHECK(IsOnTrial(board, sound, kStart + 6s));
-  // A report that comes later does not convict it either, but a crash of another server does.
+  // A later report of the same crash does not quarantine it; a crash of another server does.
   RecordCrash(board, RequestCrash(3, kStart + 3s, sound));
   CHECK_FALSE(QuarantineInTime(board, kStart + 6s));
   RecordCrash(board, RequestCrash(4, kStart + 7s, sound));
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -110,7 +110,7 @@
       message.mQuarantined[part] = entry;
     }
   }
-  // Told only by those who decide, as they are told of the answers that end a trial.
+  // Sent only by deciding instances: these receive the answers that end a trial.
   for (const auto& [request, since] : aBoard.mSuspected) {
     if (EvidenceAgainst(aBoard, request).mWeight >= aBoard.mOptions.mTrialWeight) {
       message.mTrials.push_back(request);
