--- a/review/standins-2/store_drill.cpp
+++ b/review/standins-2/store_drill.cpp
@@ -8,16 +8,16 @@
 namespace {
 
 constexpr int kInstances = 3;
-constexpr double kConfigApplyS = 2;  ///< configApplyMs
-constexpr double kStableS = 3;       ///< stableWindowMs
-constexpr double kAwayS = 1;         ///< the store is away for a moment
-constexpr double kCopyAgeS = 4;      ///< the copy is some seconds old
-constexpr double kSlackS = 3;        ///< beyond both bounds, before anything is judged
+constexpr double kConfigApplyS = 2; ///< configApplyMs
+constexpr double kStableS = 3;      ///< stableWindowMs
+constexpr double kAwayS = 1;        ///< the store is away for a moment
+constexpr double kCopyAgeS = 4;     ///< the copy is some seconds old
+constexpr double kSlackS = 3;       ///< beyond both bounds, before anything is judged
 
 json Route(const std::string& aPrefix, const std::string& aService)
 {
-  return { { "name", "r" + aPrefix }, { "host", "app.example" }, { "prefix", aPrefix },
-           { "kind", "safe" },        { "service", aService },   { "timeoutMs", 2000 },
+  return { { "name", "r" + aPrefix },  { "host", "app.example" }, { "prefix", aPrefix },
+           { "kind", "safe" },         { "service", aService },   { "timeoutMs", 2000 },
            { "targetLatencyMs", 150 }, { "maxAttempts", 2 } };
 }
 
@@ -30,17 +30,17 @@
     route["timeoutMs"] = aTimeoutMs;
     routes.push_back(route);
   }
-  return json{ { "version", aVersion },
-               { "routes", routes },
-               { "services",
-                 { { { "name", "onboard-app" }, { "healthPath", "/healthz" } } } },
-               { "limits",
-                 { { "maxHeaderBytes", 16384 },
-                   { "maxBodyBytes", 4194304 },
-                   { "headerTimeoutMs", 3000 },
-                   { "idleTimeoutMs", 15000 } } },
-               { "tenants", { { { "name", "depot" }, { "apiKeys", aKeys }, { "priority", 1 } } } } }
-    .dump();
+  return json{
+    { "version", aVersion },
+    { "routes", routes },
+    { "services", { { { "name", "onboard-app" }, { "healthPath", "/healthz" } } } },
+    { "limits",
+      { { "maxHeaderBytes", 16384 },
+        { "maxBodyBytes", 4194304 },
+        { "headerTimeoutMs", 3000 },
+        { "idleTimeoutMs", 15000 } } },
+    { "tenants", { { { "name", "depot" }, { "apiKeys", aKeys }, { "priority", 1 } } } }
+  }.dump();
 }
 
 int gCalls = 0;
@@ -50,11 +50,11 @@
          const std::string& aKey)
 {
   const std::string id = "call-" + std::to_string(++gCalls);
-  const auto answer = Ask(aInstance.Front(),
-                          "GET " + aPrefix + "x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: " +
-                            id + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer " + aKey +
-                            "\r\nConnection: close\r\n\r\n",
-                          4);
+  const auto answer = Ask(
+    aInstance.Front(),
+    "GET " + aPrefix + "x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: " + id +
+      "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer " + aKey + "\r\nConnection: close\r\n\r\n",
+    4);
   const int status = answer ? answer->Status() : 0;
   aRecord.Line("client to ", aInstance.Name(), ": ", id, " GET ", aPrefix, "x with ", aKey, " -> ",
                status);
@@ -104,9 +104,9 @@
   platform.Copy();
   for (int version = 2; version <= 5; ++version) {
     Sleep(kCopyAgeS / 4);
-    platform.Put("op", "config",
-                 Configuration(version, { "/old/" }, { "key-kept", "key-dropped" },
-                               2000 + version));
+    platform.Put(
+      "op", "config",
+      Configuration(version, { "/old/" }, { "key-kept", "key-dropped" }, 2000 + version));
     log.Line("operator writes configuration ", version, ", store at ", platform.Version());
   }
   Sleep(0.5);
@@ -122,8 +122,9 @@
   const std::uint64_t callsBefore = platform.Calls();
   platform.Put("op", "config", Configuration(6, { "/old/", "/new/" }, { "key-kept" }, 2006));
   const double acknowledged = Seconds();
-  log.Line("operator writes configuration 6 (adds /new/, drops key-dropped), acknowledged, store at ",
-           platform.Version());
+  log.Line(
+    "operator writes configuration 6 (adds /new/, drops key-dropped), acknowledged, store at ",
+    platform.Version());
   Sleep(kConfigApplyS + kSlackS);
   int broken = 0;
   for (int round = 0; round < 10; ++round) {
