--- a/src/replica/table_copy.h
+++ b/src/replica/table_copy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/strong_type.h"
+#include "replica/store_version.h"
 
 #include <cstdint>
 #include <map>
@@ -11,9 +11,6 @@
 
 namespace tamarackweir::replica {
 
-/// Position in the store's single order of transactions; 0 before the first.
-using store_version = strong_type<struct store_version_tag, std::uint64_t>;
-
 /// A row as the store held it.
 struct row
 {
