Never compare the store's versions of two eras, and keep what it has lost

The store got 24,885 calls in 15 s.

Cause: a version of the store was the one measure of what is newer. Where the new versions have passed the old ones there is no 410, and changes below the known version are skipped without any sign.

The era of an answer is part of each version now and decides first. A feed that meets another era has its table read whole, as does a peer. But a newer era can have older content: of each row the store's copy is told from a new one by the rows that were superseded, and what the store has lost stays in force until it is written again; peers tell each other. Across eras a configuration with a lower number of the operator is never taken.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -100,10 +100,8 @@
 net::task<std::optional<replica::news_answer>> peer_exchange::PullFrom(
   peer aPeer, std::vector<std::string> aNames, duration aWait)
 {
-  replica::news_question question{ .mWait = aWait, .mAcceptsKeys = true };
-  for (const std::string& name : aNames) {
-    question.mKnown[name] = mTables[name].mCompleteTo;
-  }
+  replica::news_question question = replica::QuestionAbout(mTables, aNames);
+  question.mWait = aWait;
   net::http_call call;
   call.mServer = aPeer.mAddress;
   call.mMethod = net::http::verb::post;
@@ -212,7 +210,7 @@
     if (mState.mStoreReturnedAt) {
       answer.mStoreReturnedAgo = net::Now() - *mState.mStoreReturnedAt;
     }
-    if (!answer.mUpdates.empty() || cannotServe || net::Now() >= end) {
+    if (answer.IsUrgent() || cannotServe || net::Now() >= end) {
       co_return replica::EncodeAnswer(answer);
     }
     co_await WaitForNews(end);
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -4,8 +4,10 @@
 #include "replica/table_copy.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tamarackweir::replica {
 
@@ -15,6 +17,9 @@
 /// Up to where an instance knows each table.
 using known_versions = std::map<std::string, store_version>;
 
+/// Keys of lost rows, by table.
+using known_lost = std::map<std::string, std::set<std::string>>;
+
 /// The versions of the tables in a set.
 known_versions VersionsOf(const table_set& aTables);
 
@@ -22,6 +27,7 @@
 struct news_question
 {
   known_versions mKnown;     ///< the tables of interest
+  known_lost mLost;          ///< known to the store no more
   duration mWait = 0s;       ///< how long the peer may wait for news
   bool mAcceptsKeys = false; ///< understands `table_update::mKeys`
 };
@@ -32,8 +38,14 @@
   std::map<std::string, table_update> mUpdates; ///< tables without news are left out
   bool mIsStoreLost = false;                    ///< the peer does not reach the store itself
   std::optional<duration> mStoreReturnedAgo;    ///< since the peer reached the store again
+
+  /// Whether a peer that waits for news should get them at once.
+  bool IsUrgent() const;
 };
 
+/// The question for what is new of some tables. Tables that are not in the set are not known yet.
+news_question QuestionAbout(const table_set& aTables, const std::vector<std::string>& aNames);
+
 std::string EncodeQuestion(const news_question& aQuestion);
 /// Throws `error` of kind `InvalidInput`.
 news_question DecodeQuestion(std::string_view aText);
--- a/src/replica/table_copy.cpp
+++ b/src/replica/table_copy.cpp
@@ -14,12 +14,30 @@
   }
 }
 
+/// Notes the rows of `aBefore` that `aAfter` has no more.
+void NoteReplaced(superseded_rows& aSuperseded, const std::map<std::string, row>& aBefore,
+                  const std::map<std::string, row>& aAfter)
+{
+  for (const auto& [key, before] : aBefore) {
+    const auto after = aAfter.find(key);
+    if (after == aAfter.end() || after->second.mVersion.Value() != before.mVersion.Value() ||
+        after->second.mValue != before.mValue) {
+      NoteSuperseded(aSuperseded, key, before);
+    }
+  }
+}
+
 /// Removes the rows whose keys are not among `aKeys`. What else came and went meanwhile is not
 /// known.
 void RemoveOthers(table_copy& aCopy, const std::set<std::string>& aKeys)
 {
-  if (std::erase_if(aCopy.mRows,
-                    [&aKeys](const auto& aRow) { return !aKeys.contains(aRow.first); }) > 0) {
+  if (std::erase_if(aCopy.mRows, [&aCopy, &aKeys](const auto& aRow) {
+        const bool isGone = !aKeys.contains(aRow.first);
+        if (isGone) {
+          NoteSuperseded(aCopy.mSuperseded, aRow.first, aRow.second);
+        }
+        return isGone;
+      }) > 0) {
     aCopy.mLastChange = aCopy.mCompleteTo;
   }
   aCopy.mHistoryFrom = aCopy.mCompleteTo;
@@ -28,11 +46,16 @@
 
 } // namespace
 
-bool Replace(table_copy& aCopy, table_copy aNewer)
+bool Replace(table_copy& aCopy, table_copy aNewer, missing_rows aMissing)
 {
   if (aNewer.mCompleteTo <= aCopy.mCompleteTo) {
     return false;
   }
+  const bool isNewEra = aCopy.IsKnown() && aNewer.mCompleteTo.Era() != aCopy.mCompleteTo.Era();
+  aNewer.mLost = isNewEra ? FindLostRows(aCopy, aNewer, aMissing) : std::move(aCopy.mLost);
+  aNewer.mSuperseded = std::move(aCopy.mSuperseded);
+  NoteReplaced(aNewer.mSuperseded, aCopy.mRows, aNewer.mRows);
+  DropWrittenAgain(aNewer);
   aNewer.mLastChange = std::max(aCopy.mLastChange, aNewer.mLastChange);
   for (const auto& [key, value] : aNewer.mRows) {
     aNewer.mLastChange = std::max(aNewer.mLastChange, value.mVersion);
@@ -42,11 +65,15 @@
       aNewer.mLastChange = aNewer.mCompleteTo;
     }
   }
+  if (isNewEra) {
+    aNewer.mLastChange = aNewer.mCompleteTo;
+  }
   // Rows may have come and gone meanwhile without this copy ever holding them.
   aNewer.mHistoryFrom = aNewer.mCompleteTo;
   aNewer.mRemoved.clear();
   aCopy = std::move(aNewer);
   LimitHistory(aCopy);
+  UpdateRowsInForce(aCopy);
   return true;
 }
 
@@ -57,6 +84,10 @@
     if (change.mVersion <= aCopy.mCompleteTo) {
       continue;
     }
+    if (const auto before = aCopy.mRows.find(change.mKey); before != aCopy.mRows.end()) {
+      NoteSuperseded(aCopy.mSuperseded, change.mKey, before->second);
+    }
+    aCopy.mLost.erase(change.mKey);
     aCopy.mLastChange = std::max(aCopy.mLastChange, change.mVersion);
     if (change.mValue) {
       aCopy.mRows[change.mKey] = row{ .mValue = *change.mValue, .mVersion = change.mVersion };
@@ -68,17 +99,37 @@
   }
   aCopy.mCompleteTo = std::max(aCopy.mCompleteTo, aCompleteTo);
   LimitHistory(aCopy);
+  UpdateRowsInForce(aCopy);
 }
 
 std::optional<table_update> NewsFor(const table_copy& aCopy, store_version aKnown,
-                                    bool aMaySendKeys)
+                                    bool aMaySendKeys, const std::set<std::string>& aKnownLost)
 {
-  if (!aCopy.IsKnown() || aCopy.mLastChange <= aKnown) {
+  // A peer that is ahead has seen which lost rows were written again.
+  if (!aCopy.IsKnown() || aCopy.mCompleteTo < aKnown) {
     return std::nullopt;
   }
   table_update news{ .mCompleteTo = aCopy.mCompleteTo, .mLastChange = aCopy.mLastChange };
+  for (const auto& [key, lost] : aCopy.mLost) {
+    if (!aKnownLost.contains(key)) {
+      news.mLost.emplace(key, lost);
+    }
+  }
+  for (const std::string& key : aKnownLost) {
+    if (!aCopy.mRows.contains(key) && aCopy.mRemoved.contains(key)) {
+      news.mRemovedAgain.push_back(key);
+    }
+  }
+  if (aCopy.mLastChange <= aKnown) {
+    if (news.mLost.empty() && news.mRemovedAgain.empty()) {
+      return std::nullopt;
+    }
+    news.mAfter = aKnown;
+    return news;
+  }
   const bool knowsRemovals = aKnown >= aCopy.mHistoryFrom;
-  const bool isDelta = aKnown.Value() > 0 && (knowsRemovals || aMaySendKeys);
+  const bool isDelta = aKnown.Value() > 0 && aKnown.Era() == aCopy.mCompleteTo.Era() &&
+                       (knowsRemovals || aMaySendKeys);
   if (isDelta) {
     news.mAfter = aKnown;
     if (!knowsRemovals) {
@@ -101,7 +152,14 @@
   return news;
 }
 
-bool Merge(table_copy& aCopy, const table_update& aUpdate)
+bool IsUrgent(const table_update& aUpdate)
+{
+  return !aUpdate.mAfter || *aUpdate.mAfter < aUpdate.mLastChange;
+}
+
+namespace {
+
+bool MergeRows(table_copy& aCopy, const table_update& aUpdate, missing_rows aMissing)
 {
   if (aUpdate.mCompleteTo <= aCopy.mCompleteTo) {
     return false;
@@ -112,9 +170,10 @@
       whole.mRows[change.mKey] =
         row{ .mValue = change.mValue.value_or(""), .mVersion = change.mVersion };
     }
-    return Replace(aCopy, std::move(whole));
+    return Replace(aCopy, std::move(whole), aMissing);
   }
-  if (!aCopy.IsKnown() || aCopy.mCompleteTo < *aUpdate.mAfter) {
+  if (!aCopy.IsKnown() || aCopy.mCompleteTo < *aUpdate.mAfter ||
+      aCopy.mCompleteTo.Era() != aUpdate.mCompleteTo.Era()) {
     return false;
   }
   Apply(aCopy, aUpdate.mChanges, aUpdate.mCompleteTo);
@@ -125,4 +184,14 @@
   return true;
 }
 
+} // namespace
+
+bool Merge(table_copy& aCopy, const table_update& aUpdate, missing_rows aMissing)
+{
+  const bool hasRows = MergeRows(aCopy, aUpdate, aMissing);
+  const bool hasLost =
+    MergeLostRows(aCopy, aUpdate.mCompleteTo.Era(), aUpdate.mLost, aUpdate.mRemovedAgain);
+  return hasRows || hasLost;
+}
+
 } // namespace tamarackweir::replica
