Go on with a roll-out whose order and progress the store has lost

Seen after a drill of the store: a roll-out under way began anew, with the share of its beginning; one that had ended ran again, and requests reached servers of the version that it had left; the operator never read how it ended.

Cause: the version of an order's row was its id, so an order that the operator writes again was a new one, and another order that gets the same version was the same one. And nobody wrote progress again that the store had lost.

An order's id is of its row's version and value now. A phase never goes back for an order, and what the store lacks of it is written again by the first in rank, with the status.

--- a/src/gateway/shift_results.cpp
+++ b/src/gateway/shift_results.cpp
@@ -148,7 +148,7 @@
     .Text("service", aShift.mOrder.mService.Value())
     .Text("to", aShift.mOrder.mNewVersion.Value())
     .Text("by", aBy.Value())
-    .Number("order", static_cast<std::int64_t>(aShift.mOrder.mOrderId))
+    .Text("order", std::to_string(aShift.mOrder.mOrderId))
     .Write();
 }
 
--- a/src/rollout/shift.cpp
+++ b/src/rollout/shift.cpp
@@ -245,6 +245,15 @@
   return isNew ? version_side::New : version_side::Old;
 }
 
+bool IsBefore(shift_phase aPhase, shift_phase aOther)
+{
+  const auto rank = [](shift_phase aOne) {
+    // A shift ends as one or the other.
+    return aOne == shift_phase::RolledBack ? shift_phase::Succeeded : aOne;
+  };
+  return rank(aPhase) < rank(aOther);
+}
+
 bool IsRunning(const shift& aShift)
 {
   return !aShift.mIsHalted &&
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -22,7 +22,7 @@
   service_id mService;
   version_id mNewVersion;
   duration mDuration = 0s;    ///< from the order to its deadline
-  std::uint64_t mOrderId = 0; ///< later orders have higher ids
+  std::uint64_t mOrderId = 0; ///< of this order alone
 
   bool operator==(const shift_order&) const = default;
 };
@@ -129,7 +129,8 @@
   std::optional<shift_progress> mProgress; ///< absent until an instance has written it
   time_point mStartedAt{};                 ///< on this instance's clock
   std::optional<time_point> mPassedAt;     ///< on this instance's clock
-  bool mIsHalted = false; ///< the new version was found bad, whatever the store says
+  bool mIsUnsaved = false; ///< the store has lost the progress, which has to be written again
+  bool mIsHalted = false;  ///< the new version was found bad, whatever the store says
   shift_results mOwnResults;
   std::map<std::string, shift_results> mPeerResults; ///< highest counts, by instance id and start
   load_counts mOwnLoads{};
@@ -192,6 +193,9 @@
                         std::optional<std::uint64_t> aSession, session_pins& aPins,
                         time_point aNow);
 
+/// Returns whether a phase comes before another one in the course of a shift.
+bool IsBefore(shift_phase aPhase, shift_phase aOther);
+
 /// Returns whether the shift is neither finished nor halted.
 bool IsRunning(const shift& aShift);
 
