Turn to another reader when the news of one are of an era that can't be

Seen by reading, no run: a follower that refuses the era of its reader would be answered at once with whole tables, again and again, as each answer counted as one that confirms what is known. Nothing of such an answer is used now, and the reader counts as silent.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -37,7 +37,7 @@
 
 peer_exchange::peer_exchange(net::asio::io_context& aLoop, gateway_state& aState,
                              replica::table_set& aTables,
-                             std::function<void(const replica::news_answer&)> aOnUpdate)
+                             std::function<bool(const replica::news_answer&)> aOnUpdate)
   : mLoop(aLoop)
   , mState(aState)
   , mTables(aTables)
@@ -68,7 +68,7 @@
     const auto answer = co_await PullFrom(asked[i], aNames, duration::zero());
     if (answer) {
       ++answered;
-      mOnUpdate(*answer);
+      (void)mOnUpdate(*answer);
     }
   }
 }
@@ -86,7 +86,9 @@
   if (!answer) {
     co_return follow_result::Silent;
   }
-  mOnUpdate(*answer);
+  if (!mOnUpdate(*answer)) {
+    co_return follow_result::Silent;
+  }
   co_return answer->mIsStoreLost ? follow_result::StoreLost : follow_result::Confirmed;
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -26,7 +26,7 @@
 {
   Confirmed, ///< the peer reaches the store, and its updates, if any, were applied
   StoreLost, ///< the peer does not reach the store
-  Silent,    ///< no answer, or the peer's address is not known
+  Silent,    ///< no answer that can be used, or the peer's address is not known
 };
 
 /// Exchanges data with other instances: copies of the store's tables, for instances that can't
@@ -34,9 +34,9 @@
 class peer_exchange
 {
 public:
-  /// \param aOnUpdate called with the table updates of a peer
+  /// \param aOnUpdate called with the table updates of a peer; returns whether they can be used
   peer_exchange(net::asio::io_context& aLoop, gateway_state& aState, replica::table_set& aTables,
-                std::function<void(const replica::news_answer&)> aOnUpdate);
+                std::function<bool(const replica::news_answer&)> aOnUpdate);
 
   /// Binds the address for peers and starts to serve requests; later if the address is taken.
   /// Throws `boost::system::system_error` if it can't be bound at all.
@@ -75,7 +75,7 @@
   net::asio::io_context& mLoop;
   gateway_state& mState;
   replica::table_set& mTables;
-  std::function<void(const replica::news_answer&)> mOnUpdate;
+  std::function<bool(const replica::news_answer&)> mOnUpdate;
   std::set<net::asio::steady_timer*> mFollowerTimers; ///< of peers that wait for updates
   net::caller_limits mLimits;
   std::unique_ptr<net::http_server> mServer;
