End an evacuation that was taken back before anyone read the store again

Cause: its evacuation was taken back in the time that a drill lost, and again before any instance read the store. The row was missing in the first read of the new era and was taken for lost, and nobody was to write it again. Only the rows of its own table were asked whether the store's copy must have had it.

Rows of all tables are asked now.

--- a/src/replica/lost_rows.cpp
+++ b/src/replica/lost_rows.cpp
@@ -24,6 +24,21 @@
   return found == aRows.end() ? nullptr : &found->second;
 }
 
+std::set<row_identity> Superseded(const table_copy& aCopy)
+{
+  std::set<row_identity> rows;
+  for (const superseded_row& entry : aCopy.mSuperseded) {
+    rows.insert({ entry.mKey, entry.mNumber, entry.mHash });
+  }
+  return rows;
+}
+
+bool IsUnchanged(const table_copy& aKnown, const std::string& aKey, const row& aRestored)
+{
+  const row* const before = Find(aKnown.mRows, aKey);
+  return before != nullptr && IdentityOf(aKey, *before) == IdentityOf(aKey, aRestored);
+}
+
 /// When a key that is not in force was removed, as far as it is known.
 store_version RemovalOf(const table_copy& aCopy, const std::string& aKey)
 {
@@ -47,24 +62,15 @@
 
 lost_rows FindLostRows(const table_copy& aKnown, const table_copy& aRestored, missing_rows aMissing)
 {
-  std::set<row_identity> superseded;
-  for (const superseded_row& entry : aKnown.mSuperseded) {
-    superseded.insert({ entry.mKey, entry.mNumber, entry.mHash });
-  }
+  const std::set<row_identity> superseded = Superseded(aKnown);
   const auto& inForce = RowsInForce(aKnown);
   lost_rows lost;
-  // The store had at least this version when the copy was made.
-  std::uint64_t copiedTo = 0;
   for (const auto& [key, restored] : aRestored.mRows) {
-    const row_identity identity = IdentityOf(key, restored);
-    const row* const before = Find(aKnown.mRows, key);
-    const bool isUnchanged = before != nullptr && IdentityOf(key, *before) == identity;
-    const bool wasLostBefore = aKnown.mLost.contains(key);
-    const bool isSuperseded = superseded.contains(identity) || (isUnchanged && wasLostBefore);
-    if (isUnchanged || isSuperseded) {
-      copiedTo = std::max(copiedTo, restored.mVersion.Value());
-    }
-    if (!isSuperseded || (isUnchanged && !wasLostBefore)) {
+    // A row that was lost in an earlier drill as well is there as it was.
+    const bool isCopied = IsUnchanged(aKnown, key, restored)
+                            ? aKnown.mLost.contains(key)
+                            : superseded.contains(IdentityOf(key, restored));
+    if (!isCopied) {
       continue;
     }
     const row* const known = Find(inForce, key);
@@ -76,12 +82,7 @@
     return lost;
   }
   for (const auto& [key, known] : inForce) {
-    if (aRestored.mRows.contains(key)) {
-      continue;
-    }
-    // A row that the copy must have had was removed after the store came back.
-    const bool wasCopied = !aKnown.mLost.contains(key) && known.mVersion.Value() <= copiedTo;
-    if (!wasCopied) {
+    if (!aRestored.mRows.contains(key)) {
       lost[key] = { .mValue = known.mValue,
                     .mVersion = known.mVersion,
                     .mCopied = store_version(0, aRestored.mCompleteTo.Era()) };
@@ -90,6 +91,39 @@
   return lost;
 }
 
+store_version FindCopiedTo(const table_copy& aKnown, const table_copy& aRestored)
+{
+  const std::set<row_identity> superseded = Superseded(aKnown);
+  std::uint64_t copiedTo = 0;
+  for (const auto& [key, restored] : aRestored.mRows) {
+    if (IsUnchanged(aKnown, key, restored) || superseded.contains(IdentityOf(key, restored))) {
+      copiedTo = std::max(copiedTo, restored.mVersion.Value());
+    }
+  }
+  return store_version(copiedTo, aKnown.mCompleteTo.Era());
+}
+
+bool DropCopied(table_copy& aCopy, store_version aCopiedTo)
+{
+  const bool isChanged = std::erase_if(aCopy.mLost, [&aCopiedTo](const auto& aEntry) {
+                           const lost_row& lost = aEntry.second;
+                           return lost.mCopied.Value() == 0 &&
+                                  lost.mVersion.Era() == aCopiedTo.Era() &&
+                                  lost.mVersion <= aCopiedTo;
+                         }) > 0;
+  UpdateRowsInForce(aCopy);
+  return isChanged;
+}
+
+bool DropLostMissing(table_copy& aCopy)
+{
+  const bool isChanged = std::erase_if(aCopy.mLost, [](const auto& aEntry) {
+                           return aEntry.second.mCopied.Value() == 0;
+                         }) > 0;
+  UpdateRowsInForce(aCopy);
+  return isChanged;
+}
+
 void DropWrittenAgain(table_copy& aCopy)
 {
   std::erase_if(aCopy.mLost, [&aCopy](const auto& aEntry) {
--- a/src/replica/lost_rows.h
+++ b/src/replica/lost_rows.h
@@ -56,10 +56,23 @@
 
 /// What the store has lost of a table: the differences between the rows in force and `aRestored`,
 /// read in a newer era, that only its copy explains. A row of the copy is known by a version and a
-/// value that were superseded; any other difference was written in the new era.
+/// value that were superseded; any other difference was written in the new era. What is missing may
+/// have been removed since, which `DropCopied` finds.
 lost_rows FindLostRows(const table_copy& aKnown, const table_copy& aRestored,
                        missing_rows aMissing);
 
+/// The highest version of a row that the store's copy has kept, by the rows that were known or
+/// superseded.
+store_version FindCopiedTo(const table_copy& aKnown, const table_copy& aRestored);
+
+/// Drops the lost rows that the store's copy must have had, as any table shows that it has rows
+/// written later; they were removed after the store came back. Returns whether there were any.
+bool DropCopied(table_copy& aCopy, store_version aCopiedTo);
+
+/// Drops the lost rows whose keys are not in the store, so that they count as removed. Returns
+/// whether there were any.
+bool DropLostMissing(table_copy& aCopy);
+
 /// Drops the lost rows whose keys were written again: the table has another row for the key than
 /// the copy had.
 void DropWrittenAgain(table_copy& aCopy);
--- a/src/replica/lost_rows_test.cpp
+++ b/src/replica/lost_rows_test.cpp
@@ -152,6 +152,26 @@
   CHECK(InForce(copy, "later") == "y");
 }
 
+// Guards against a data centre that stays out for good: its row was removed before this copy was
+// read again, and only another table shows that the store's copy must have had it (soak seed 5791).
+TEST_CASE("a later row of another table shows that a missing row was removed")
+{
+  drilled_store store;
+  table_copy copy;
+  store.Put("config", "x");
+  store.Put("evacuate", "y");
+  REQUIRE(Replace(copy, store.Read()));
+  store.Copy();
+  store.Restore();
+  store.Remove("evacuate");
+  REQUIRE(Replace(copy, store.Read()));
+  CHECK(InForce(copy, "evacuate") == "y");
+  CHECK_FALSE(DropCopied(copy, At(2)));
+  CHECK_FALSE(DropCopied(copy, At(9, 2)));
+  CHECK(DropCopied(copy, At(3)));
+  CHECK(InForce(copy, "evacuate").empty());
+}
+
 // Guards against a rule of lapsed servers that no longer applies.
 TEST_CASE("rows that are missing are dropped where the table says so")
 {
--- a/src/replica/table_copy.cpp
+++ b/src/replica/table_copy.cpp
@@ -52,7 +52,9 @@
     return false;
   }
   const bool isNewEra = aCopy.IsKnown() && aNewer.mCompleteTo.Era() != aCopy.mCompleteTo.Era();
+  aNewer.mCopiedTo = isNewEra ? FindCopiedTo(aCopy, aNewer) : aCopy.mCopiedTo;
   aNewer.mLost = isNewEra ? FindLostRows(aCopy, aNewer, aMissing) : std::move(aCopy.mLost);
+  DropCopied(aNewer, aNewer.mCopiedTo);
   aNewer.mSuperseded = std::move(aCopy.mSuperseded);
   NoteReplaced(aNewer.mSuperseded, aCopy.mRows, aNewer.mRows);
   DropWrittenAgain(aNewer);
--- a/src/replica/table_copy.h
+++ b/src/replica/table_copy.h
@@ -34,6 +34,9 @@
   superseded_rows mSuperseded;
   lost_rows mLost;                     ///< by the store, in force until they are written again
   std::map<std::string, row> mInForce; ///< `mRows` with `mLost` over them; empty without any
+  /// Of the era that was known before this one: the store's copy is seen to have its rows up to
+  /// here.
+  store_version mCopiedTo;
 
   /// Whether the table was ever read.
   bool IsKnown() const { return mCompleteTo.Value() > 0; }
