--- a/src/replica/lost_rows.cpp
+++ b/src/replica/lost_rows.cpp
@@ -24,29 +24,37 @@
   return found == aRows.end() ? nullptr : &found->second;
 }
 
-std::set<row_identity> Superseded(const table_copy& aCopy)
+/// When a key that is not in force was removed, as far as it is known.
+store_version RemovalOf(const table_copy& aCopy, const std::string& aKey)
 {
-  std::set<row_identity> rows;
-  for (const superseded_row& entry : aCopy.mSuperseded) {
-    rows.insert({ entry.mKey, entry.mNumber, entry.mHash });
+  if (const auto lost = aCopy.mLost.find(aKey); lost != aCopy.mLost.end()) {
+    return lost->second.mVersion;
   }
-  return rows;
+  const auto removed = aCopy.mRemoved.find(aKey);
+  return removed == aCopy.mRemoved.end() ? aCopy.mCompleteTo : removed->second;
 }
 
-bool IsUnchanged(const table_copy& aKnown, const std::string& aKey, const row& aRestored)
+bool IsMissing(const lost_row& aLost)
 {
-  const row* const before = Find(aKnown.mRows, aKey);
-  return before != nullptr && IdentityOf(aKey, *before) == IdentityOf(aKey, aRestored);
+  return aLost.mInSnapshot.Value() == 0;
 }
 
-/// When a key that is not in force was removed, as far as it is known.
-store_version RemovalOf(const table_copy& aCopy, const std::string& aKey)
+bool IsRemovedSince(const lost_row& aLost, store_version aReachesTo)
 {
-  if (const auto lost = aCopy.mLost.find(aKey); lost != aCopy.mLost.end()) {
-    return lost->second.mVersion;
+  return IsMissing(aLost) && aLost.mVersion.Era() == aReachesTo.Era() &&
+         aLost.mVersion <= aReachesTo;
+}
+
+/// Drops the lost rows for which the condition holds. Returns whether there were any.
+template<class Condition>
+bool Drop(table_copy& aCopy, Condition aCondition)
+{
+  if (std::erase_if(aCopy.mLost, [&](const auto& aEntry) { return aCondition(aEntry.second); }) ==
+      0) {
+    return false;
   }
-  const auto removed = aCopy.mRemoved.find(aKey);
-  return removed == aCopy.mRemoved.end() ? aCopy.mCompleteTo : removed->second;
+  UpdateRowsInForce(aCopy);
+  return true;
 }
 
 } // namespace
@@ -60,86 +68,72 @@
   }
 }
 
-lost_rows FindLostRows(const table_copy& aKnown, const table_copy& aRestored, missing_rows aMissing)
+snapshot_findings CompareRestored(const table_copy& aKnown, const table_copy& aRestored,
+                                  missing_rows aMissing)
 {
-  const std::set<row_identity> superseded = Superseded(aKnown);
+  std::set<row_identity> superseded;
+  for (const superseded_row& entry : aKnown.mSuperseded) {
+    superseded.insert({ entry.mKey, entry.mNumber, entry.mHash });
+  }
   const auto& inForce = RowsInForce(aKnown);
   lost_rows lost;
+  std::uint64_t reachesTo = 0;
   for (const auto& [key, restored] : aRestored.mRows) {
-    // A row that was lost in an earlier drill as well is there as it was.
-    const bool isCopied = IsUnchanged(aKnown, key, restored)
-                            ? aKnown.mLost.contains(key)
-                            : superseded.contains(IdentityOf(key, restored));
-    if (!isCopied) {
+    const row_identity identity = IdentityOf(key, restored);
+    const row* const before = Find(aKnown.mRows, key);
+    const bool isUnchanged = before != nullptr && IdentityOf(key, *before) == identity;
+    if (!isUnchanged && !superseded.contains(identity)) {
+      continue;
+    }
+    reachesTo = std::max(reachesTo, restored.mVersion.Value());
+    // An unchanged row may stand below one that was lost in an earlier era.
+    if (isUnchanged && !aKnown.mLost.contains(key)) {
       continue;
     }
     const row* const known = Find(inForce, key);
     lost[key] = { .mValue = known != nullptr ? std::optional(known->mValue) : std::nullopt,
                   .mVersion = known != nullptr ? known->mVersion : RemovalOf(aKnown, key),
-                  .mCopied = restored.mVersion };
+                  .mInSnapshot = restored.mVersion };
   }
-  if (aMissing == missing_rows::Dropped) {
-    return lost;
-  }
-  for (const auto& [key, known] : inForce) {
-    if (!aRestored.mRows.contains(key)) {
-      lost[key] = { .mValue = known.mValue,
-                    .mVersion = known.mVersion,
-                    .mCopied = store_version(0, aRestored.mCompleteTo.Era()) };
+  const store_version reach(reachesTo, aKnown.mCompleteTo.Era());
+  if (aMissing == missing_rows::Kept) {
+    for (const auto& [key, known] : inForce) {
+      const lost_row missing{ .mValue = known.mValue,
+                              .mVersion = known.mVersion,
+                              .mInSnapshot = store_version(0, aRestored.mCompleteTo.Era()) };
+      if (!aRestored.mRows.contains(key) && !IsRemovedSince(missing, reach)) {
+        lost[key] = missing;
+      }
     }
   }
-  return lost;
+  return { .mLost = std::move(lost), .mReachesTo = reach };
 }
 
-store_version FindCopiedTo(const table_copy& aKnown, const table_copy& aRestored)
+bool DropRemovedSince(table_copy& aCopy, store_version aReachesTo)
 {
-  const std::set<row_identity> superseded = Superseded(aKnown);
-  std::uint64_t copiedTo = 0;
-  for (const auto& [key, restored] : aRestored.mRows) {
-    if (IsUnchanged(aKnown, key, restored) || superseded.contains(IdentityOf(key, restored))) {
-      copiedTo = std::max(copiedTo, restored.mVersion.Value());
-    }
-  }
-  return store_version(copiedTo, aKnown.mCompleteTo.Era());
+  return Drop(aCopy,
+              [&aReachesTo](const lost_row& aLost) { return IsRemovedSince(aLost, aReachesTo); });
 }
 
-bool DropCopied(table_copy& aCopy, store_version aCopiedTo)
+bool DropMissing(table_copy& aCopy)
 {
-  const bool isChanged = std::erase_if(aCopy.mLost, [&aCopiedTo](const auto& aEntry) {
-                           const lost_row& lost = aEntry.second;
-                           return lost.mCopied.Value() == 0 &&
-                                  lost.mVersion.Era() == aCopiedTo.Era() &&
-                                  lost.mVersion <= aCopiedTo;
-                         }) > 0;
-  UpdateRowsInForce(aCopy);
-  return isChanged;
+  return Drop(aCopy, IsMissing);
 }
 
-bool DropLostMissing(table_copy& aCopy)
+bool DropLostRemovals(table_copy& aCopy)
 {
-  const bool isChanged = std::erase_if(aCopy.mLost, [](const auto& aEntry) {
-                           return aEntry.second.mCopied.Value() == 0;
-                         }) > 0;
-  UpdateRowsInForce(aCopy);
-  return isChanged;
+  return Drop(aCopy, [](const lost_row& aLost) { return !aLost.mValue; });
 }
 
 void DropWrittenAgain(table_copy& aCopy)
 {
   std::erase_if(aCopy.mLost, [&aCopy](const auto& aEntry) {
     const row* const present = Find(aCopy.mRows, aEntry.first);
-    return aEntry.second.mCopied.Value() != (present != nullptr ? present->mVersion.Value() : 0);
+    const std::uint64_t number = present != nullptr ? present->mVersion.Value() : 0;
+    return aEntry.second.mInSnapshot.Value() != number;
   });
 }
 
-bool DropLostRemovals(table_copy& aCopy)
-{
-  const bool isChanged =
-    std::erase_if(aCopy.mLost, [](const auto& aEntry) { return !aEntry.second.mValue; }) > 0;
-  UpdateRowsInForce(aCopy);
-  return isChanged;
-}
-
 bool MergeLostRows(table_copy& aCopy, store_era aEra, const lost_rows& aLost,
                    const std::vector<std::string>& aRemovedAgain)
 {
@@ -150,7 +144,7 @@
   for (const auto& [key, lost] : aLost) {
     const auto known = aCopy.mLost.find(key);
     const bool isNewer = known == aCopy.mLost.end() || known->second.mVersion < lost.mVersion;
-    if (isNewer && lost.mCopied.Era() == aEra && !aCopy.mRemoved.contains(key)) {
+    if (isNewer && lost.mInSnapshot.Era() == aEra && !aCopy.mRemoved.contains(key)) {
       aCopy.mLost[key] = lost;
     }
   }
--- a/src/replica/lost_rows.h
+++ b/src/replica/lost_rows.h
@@ -15,13 +15,13 @@
 struct row;
 struct table_copy;
 
-/// The last state of a key that the store no longer has after it came back from an older copy. It
-/// stays in force until the key is written again, by whoever it belongs to.
+/// The last state of a key that the store has lost by restoring an older snapshot. It stays in
+/// force until the owner of the key writes it again.
 struct lost_row
 {
   std::optional<std::string> mValue; ///< absent: the key was removed
   store_version mVersion;            ///< of an earlier era
-  store_version mCopied; ///< of the row that the copy has for the key; number 0: it has none
+  store_version mInSnapshot; ///< of the row that the snapshot has for the key; number 0: none
 
   bool operator==(const lost_row&) const = default;
 };
@@ -40,47 +40,47 @@
 /// The latest rows that were superseded, oldest first.
 using superseded_rows = std::deque<superseded_row>;
 
-/// The changes of some seconds, which is the age of a copy, on a large deployment.
+/// The changes of some seconds, which is the age of a snapshot, on a large deployment.
 inline constexpr std::size_t kMaxSuperseded = 1000;
 
-/// Whether a table keeps its lost rows. The entries of backend servers that are missing have a rule
-/// of their own: they lapse.
+/// What happens to known rows that a restored table does not have.
 enum class missing_rows
 {
-  Kept,
-  Dropped,
+  Kept,    ///< as lost
+  Dropped, ///< the table has a rule of its own for rows that are missing
+};
+
+/// What a restored table shows of the snapshot that it comes from.
+struct snapshot_findings
+{
+  lost_rows mLost;
+  /// The snapshot has at least the changes up to here; of the era before.
+  store_version mReachesTo;
 };
 
 /// Notes that a change took the place of a row.
 void NoteSuperseded(superseded_rows& aRows, const std::string& aKey, const row& aRow);
 
-/// What the store has lost of a table: the differences between the rows in force and `aRestored`,
-/// read in a newer era, that only its copy explains. A row of the copy is known by a version and a
-/// value that were superseded; any other difference was written in the new era. What is missing may
-/// have been removed since, which `DropCopied` finds.
-lost_rows FindLostRows(const table_copy& aKnown, const table_copy& aRestored,
-                       missing_rows aMissing);
+/// Compares the known rows with a table that was read in a newer era. A row with the version and
+/// value of a superseded one is from the snapshot, so what superseded it is lost; another
+/// difference was written since. A missing row is lost unless the snapshot must have had it.
+snapshot_findings CompareRestored(const table_copy& aKnown, const table_copy& aRestored,
+                                  missing_rows aMissing);
 
-/// The highest version of a row that the store's copy has kept, by the rows that were known or
-/// superseded.
-store_version FindCopiedTo(const table_copy& aKnown, const table_copy& aRestored);
+/// Drops missing rows that the snapshot must have had, as any table shows that it reaches further:
+/// they were removed since. Returns whether there were any.
+bool DropRemovedSince(table_copy& aCopy, store_version aReachesTo);
 
-/// Drops the lost rows that the store's copy must have had, as any table shows that it has rows
-/// written later; they were removed after the store came back. Returns whether there were any.
-bool DropCopied(table_copy& aCopy, store_version aCopiedTo);
+/// Drops lost rows whose keys the store does not have. Returns whether there were any.
+bool DropMissing(table_copy& aCopy);
 
-/// Drops the lost rows whose keys are not in the store, so that they count as removed. Returns
+/// Drops removals that the store has lost, so that the rows of the snapshot are in force. Returns
 /// whether there were any.
-bool DropLostMissing(table_copy& aCopy);
+bool DropLostRemovals(table_copy& aCopy);
 
-/// Drops the lost rows whose keys were written again: the table has another row for the key than
-/// the copy had.
+/// Drops the lost rows whose keys were written since: the store's row is not the snapshot's.
 void DropWrittenAgain(table_copy& aCopy);
 
-/// Drops the lost rows whose keys were removed, so that the rows of the copy are in force. Returns
-/// whether there were any.
-bool DropLostRemovals(table_copy& aCopy);
-
 /// Takes over lost rows that a peer with a copy of the same era knows, and drops those whose keys
 /// it saw written and removed again. Returns whether anything changed.
 bool MergeLostRows(table_copy& aCopy, store_era aEra, const lost_rows& aLost,
--- a/src/replica/lost_rows_test.cpp
+++ b/src/replica/lost_rows_test.cpp
@@ -19,14 +19,14 @@
   return store_version(aNumber, store_era(aEra));
 }
 
-/// A store with one table that can come back from an older copy.
+/// A store with one table that can restore an older snapshot.
 struct drilled_store
 {
   std::map<std::string, row> mRows;
   std::uint64_t mNumber = 1;
   std::uint64_t mEra = kFirstEra;
-  std::map<std::string, row> mCopiedRows;
-  std::uint64_t mCopiedNumber = 1;
+  std::map<std::string, row> mSnapshot;
+  std::uint64_t mSnapshotNumber = 1;
 
   void Put(const std::string& aKey, const std::string& aValue)
   {
@@ -37,21 +37,28 @@
     ++mNumber;
     mRows.erase(aKey);
   }
-  void Copy()
+  void TakeSnapshot()
   {
-    mCopiedRows = mRows;
-    mCopiedNumber = mNumber;
+    mSnapshot = mRows;
+    mSnapshotNumber = mNumber;
   }
   void Restore()
   {
     ++mEra;
-    mNumber = mCopiedNumber;
-    mRows = mCopiedRows;
+    mNumber = mSnapshotNumber;
+    mRows = mSnapshot;
     for (auto& [key, row] : mRows) {
       row.mVersion = At(row.mVersion.Value(), mEra);
     }
   }
-  table_copy Read() const { return { .mRows = mRows, .mCompleteTo = At(mNumber, mEra) }; }
+  table_copy Table() const { return { .mRows = mRows, .mCompleteTo = At(mNumber, mEra) }; }
+  void ReadInto(table_copy& aCopy) const { REQUIRE(Replace(aCopy, Table())); }
+  /// Writes a row in the time that the next drill loses.
+  void PutAfterSnapshot(const std::string& aKey, const std::string& aValue)
+  {
+    TakeSnapshot();
+    Put(aKey, aValue);
+  }
 };
 
 /// Takes a peer's news over as they arrive: as text.
@@ -91,14 +98,13 @@
   store.Put("changed", "old");
   store.Put("removed", "x");
   store.Put("kept", "same");
-  REQUIRE(Replace(copy, store.Read()));
-  store.Copy();
-  store.Put("changed", "new");
+  store.ReadInto(copy);
+  store.PutAfterSnapshot("changed", "new");
   store.Put("added", "y");
   store.Remove("removed");
-  REQUIRE(Replace(copy, store.Read()));
+  store.ReadInto(copy);
   store.Restore();
-  REQUIRE(Replace(copy, store.Read()));
+  store.ReadInto(copy);
   CHECK(InForce(copy, "changed") == "new");
   CHECK(InForce(copy, "added") == "y");
   CHECK(InForce(copy, "removed").empty());
@@ -123,15 +129,15 @@
   drilled_store store;
   table_copy copy;
   store.Put("k", "old");
-  store.Copy();
+  store.TakeSnapshot();
   for (const char* const value : { "a", "b", "c" }) {
     store.Put("k", value);
-    REQUIRE(Replace(copy, store.Read()));
+    store.ReadInto(copy);
   }
   store.Restore();
   store.Put("k", "new");
   CHECK(store.mRows.at("k").mVersion.Value() == 3);
-  REQUIRE(Replace(copy, store.Read()));
+  store.ReadInto(copy);
   CHECK(InForce(copy, "k") == "new");
   CHECK(copy.mLost.empty());
 }
@@ -143,32 +149,32 @@
   table_copy copy;
   store.Put("early", "x");
   store.Put("later", "y");
-  REQUIRE(Replace(copy, store.Read()));
-  store.Copy();
+  store.ReadInto(copy);
+  store.TakeSnapshot();
   store.Restore();
   store.Remove("early");
-  REQUIRE(Replace(copy, store.Read()));
+  store.ReadInto(copy);
   CHECK(InForce(copy, "early").empty());
   CHECK(InForce(copy, "later") == "y");
 }
 
 // Guards against a data centre that stays out for good: its row was removed before this copy was
-// read again, and only another table shows that the store's copy must have had it (soak seed 5791).
+// read again, and only another table shows that the snapshot must have had it (soak seed 5791).
 TEST_CASE("a later row of another table shows that a missing row was removed")
 {
   drilled_store store;
   table_copy copy;
   store.Put("config", "x");
   store.Put("evacuate", "y");
-  REQUIRE(Replace(copy, store.Read()));
-  store.Copy();
+  store.ReadInto(copy);
+  store.TakeSnapshot();
   store.Restore();
   store.Remove("evacuate");
-  REQUIRE(Replace(copy, store.Read()));
+  store.ReadInto(copy);
   CHECK(InForce(copy, "evacuate") == "y");
-  CHECK_FALSE(DropCopied(copy, At(2)));
-  CHECK_FALSE(DropCopied(copy, At(9, 2)));
-  CHECK(DropCopied(copy, At(3)));
+  CHECK_FALSE(DropRemovedSince(copy, At(2)));
+  CHECK_FALSE(DropRemovedSince(copy, At(9, 2)));
+  CHECK(DropRemovedSince(copy, At(3)));
   CHECK(InForce(copy, "evacuate").empty());
 }
 
@@ -178,13 +184,12 @@
   drilled_store store;
   table_copy copy;
   store.Put("k", "ready");
-  REQUIRE(Replace(copy, store.Read()));
-  store.Copy();
-  store.Put("k", "draining");
+  store.ReadInto(copy);
+  store.PutAfterSnapshot("k", "draining");
   store.Put("added", "ready");
-  REQUIRE(Replace(copy, store.Read()));
+  store.ReadInto(copy);
   store.Restore();
-  REQUIRE(Replace(copy, store.Read(), missing_rows::Dropped));
+  REQUIRE(Replace(copy, store.Table(), missing_rows::Dropped));
   CHECK(InForce(copy, "added").empty());
   CHECK(InForce(copy, "k") == "draining");
 }
@@ -196,20 +201,19 @@
     drilled_store store;
     table_copy copy;
     store.Put("k", "old");
-    REQUIRE(Replace(copy, store.Read()));
-    store.Copy();
-    store.Put("k", "new");
-    REQUIRE(Replace(copy, store.Read()));
+    store.ReadInto(copy);
+    store.PutAfterSnapshot("k", "new");
+    store.ReadInto(copy);
     store.Restore();
-    REQUIRE(Replace(copy, store.Read()));
+    store.ReadInto(copy);
     if (isWrittenBetween) {
       store.Put("other", "x");
       store.Put("k", "new");
-      REQUIRE(Replace(copy, store.Read()));
+      store.ReadInto(copy);
       CHECK(copy.mLost.empty());
     }
     store.Restore();
-    REQUIRE(Replace(copy, store.Read()));
+    store.ReadInto(copy);
     CHECK(InForce(copy, "k") == "new");
     CHECK(copy.mRows.at("k").mValue == "old");
   }
@@ -221,18 +225,17 @@
   drilled_store store;
   table_copy behind;
   store.Put("k", "old");
-  REQUIRE(Replace(behind, store.Read()));
-  store.Copy();
-  store.Put("k", "lost");
+  store.ReadInto(behind);
+  store.PutAfterSnapshot("k", "lost");
   table_copy lost = behind;
-  REQUIRE(Replace(lost, store.Read()));
+  store.ReadInto(lost);
   store.Restore();
   table_copy ahead = behind;
-  REQUIRE(Replace(ahead, store.Read()));
+  store.ReadInto(ahead);
   for (int i = 0; i < 9; ++i) {
     store.Put("k", "new " + std::to_string(i));
   }
-  REQUIRE(Replace(ahead, store.Read()));
+  store.ReadInto(ahead);
 
   CHECK_FALSE(NewsFor(lost, ahead.mCompleteTo).has_value());
   const auto news = NewsFor(ahead, lost.mCompleteTo);
@@ -255,15 +258,14 @@
   drilled_store store;
   table_copy witness;
   store.Put("k", "old");
-  REQUIRE(Replace(witness, store.Read()));
-  store.Copy();
-  store.Put("k", "new");
+  store.ReadInto(witness);
+  store.PutAfterSnapshot("k", "new");
   store.Put("added", "y");
-  REQUIRE(Replace(witness, store.Read()));
+  store.ReadInto(witness);
   store.Restore();
-  REQUIRE(Replace(witness, store.Read()));
+  store.ReadInto(witness);
   table_copy fresh;
-  REQUIRE(Replace(fresh, store.Read()));
+  store.ReadInto(fresh);
   CHECK(InForce(fresh, "k") == "old");
   REQUIRE(TakeNews(fresh, witness));
   CHECK(InForce(fresh, "k") == "new");
@@ -273,7 +275,7 @@
 
   // One that is ahead of its peer keeps what was written again.
   store.Put("k", "newest");
-  REQUIRE(Replace(fresh, store.Read()));
+  store.ReadInto(fresh);
   TakeNews(fresh, witness);
   CHECK(InForce(fresh, "k") == "newest");
 }
@@ -285,18 +287,17 @@
   drilled_store store;
   table_copy away;
   store.Put("config", "1");
-  REQUIRE(Replace(away, store.Read()));
-  store.Copy();
-  store.Put("evacuate", "x");
-  REQUIRE(Replace(away, store.Read()));
+  store.ReadInto(away);
+  store.PutAfterSnapshot("evacuate", "x");
+  store.ReadInto(away);
   table_copy witness = away;
   store.Restore();
-  REQUIRE(Replace(witness, store.Read()));
+  store.ReadInto(witness);
   store.Put("evacuate", "x");
   Apply(witness, { { .mKey = "evacuate", .mValue = "x", .mVersion = At(3, 2) } }, At(3, 2));
   store.Remove("evacuate");
   Apply(witness, { { .mKey = "evacuate", .mVersion = At(4, 2) } }, At(4, 2));
-  REQUIRE(Replace(away, store.Read()));
+  store.ReadInto(away);
   CHECK(InForce(away, "evacuate") == "x");
   TakeNews(witness, away);
   CHECK(InForce(witness, "evacuate").empty());
@@ -310,12 +311,11 @@
   drilled_store store;
   table_copy witness;
   store.Put("k", "old");
-  REQUIRE(Replace(witness, store.Read()));
-  store.Copy();
-  store.Put("k", "new");
-  REQUIRE(Replace(witness, store.Read()));
+  store.ReadInto(witness);
+  store.PutAfterSnapshot("k", "new");
+  store.ReadInto(witness);
   store.Restore();
-  REQUIRE(Replace(witness, store.Read()));
+  store.ReadInto(witness);
   const auto lostOnly = NewsFor(witness, witness.mCompleteTo);
   REQUIRE(lostOnly.has_value());
   CHECK_FALSE(IsUrgent(*lostOnly));
@@ -341,7 +341,7 @@
           store.Remove(key);
           break;
         case 1:
-          store.Copy();
+          store.TakeSnapshot();
           break;
         case 2:
           if (random() % 3 == 0) {
@@ -353,7 +353,7 @@
       }
       table_copy& copy = copies[random() % copies.size()];
       if (random() % 2 == 0) {
-        Replace(copy, store.Read());
+        Replace(copy, store.Table());
       } else {
         TakeNews(copy, copies[random() % copies.size()]);
       }
@@ -363,7 +363,7 @@
       store.Put(keyOf(key), "last");
     }
     for (table_copy& copy : copies) {
-      Replace(copy, store.Read());
+      Replace(copy, store.Table());
       CHECK(copy.mRows == store.mRows);
       CHECK(copy.mLost.empty());
       CHECK(RowsInForce(copy) == store.mRows);
--- a/src/replica/message.cpp
+++ b/src/replica/message.cpp
@@ -26,7 +26,8 @@
 {
   json rows = json::array();
   for (const auto& [key, lost] : aLost) {
-    rows.push_back({ key, lost.mVersion.Era().Value(), lost.mVersion.Value(), lost.mCopied.Value(),
+    rows.push_back({ key, lost.mVersion.Era().Value(), lost.mVersion.Value(),
+                     lost.mInSnapshot.Value(),
                      lost.mValue ? json(Base64Encode(*lost.mValue)) : json(nullptr) });
   }
   return rows;
@@ -38,7 +39,7 @@
   for (const json& entry : aRows) {
     lost_row lost{ .mVersion = store_version(entry.at(2).get<std::uint64_t>(),
                                              store_era(entry.at(1).get<std::uint64_t>())),
-                   .mCopied = store_version(entry.at(3).get<std::uint64_t>(), aEra) };
+                   .mInSnapshot = store_version(entry.at(3).get<std::uint64_t>(), aEra) };
     if (const json& value = entry.at(4); !value.is_null()) {
       lost.mValue = Base64Decode(value.get<std::string>());
     }
@@ -98,8 +99,7 @@
   try {
     const json message = ParseObject(aText);
     news_question question;
-    // A release without eras is asked by one with them, or the other way round, while it is rolled
-    // out.
+    // A release without eras names none.
     const json eras = message.value("eras", json::object());
     for (const auto& [name, version] : message.at("known").items()) {
       question.mKnown[name] = store_version(version.get<std::uint64_t>(),
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -27,7 +27,7 @@
 struct news_question
 {
   known_versions mKnown;     ///< the tables of interest
-  known_lost mLost;          ///< known to the store no more
+  known_lost mLost;          ///< that the asker knows
   duration mWait = 0s;       ///< how long the peer may wait for news
   bool mAcceptsKeys = false; ///< understands `table_update::mKeys`
 };
--- a/src/replica/table_copy.cpp
+++ b/src/replica/table_copy.cpp
@@ -52,12 +52,17 @@
     return false;
   }
   const bool isNewEra = aCopy.IsKnown() && aNewer.mCompleteTo.Era() != aCopy.mCompleteTo.Era();
-  aNewer.mCopiedTo = isNewEra ? FindCopiedTo(aCopy, aNewer) : aCopy.mCopiedTo;
-  aNewer.mLost = isNewEra ? FindLostRows(aCopy, aNewer, aMissing) : std::move(aCopy.mLost);
-  DropCopied(aNewer, aNewer.mCopiedTo);
+  if (isNewEra) {
+    snapshot_findings findings = CompareRestored(aCopy, aNewer, aMissing);
+    aNewer.mLost = std::move(findings.mLost);
+    aNewer.mSnapshotReachesTo = findings.mReachesTo;
+  } else {
+    aNewer.mLost = std::move(aCopy.mLost);
+    aNewer.mSnapshotReachesTo = aCopy.mSnapshotReachesTo;
+    DropWrittenAgain(aNewer);
+  }
   aNewer.mSuperseded = std::move(aCopy.mSuperseded);
   NoteReplaced(aNewer.mSuperseded, aCopy.mRows, aNewer.mRows);
-  DropWrittenAgain(aNewer);
   aNewer.mLastChange = std::max(aCopy.mLastChange, aNewer.mLastChange);
   for (const auto& [key, value] : aNewer.mRows) {
     aNewer.mLastChange = std::max(aNewer.mLastChange, value.mVersion);
--- a/src/replica/table_copy.h
+++ b/src/replica/table_copy.h
@@ -32,11 +32,9 @@
   store_version mHistoryFrom; ///< what changed behind it can be told without the other rows
 
   superseded_rows mSuperseded;
-  lost_rows mLost;                     ///< by the store, in force until they are written again
+  lost_rows mLost;                     ///< by the store, and in force until they are written again
   std::map<std::string, row> mInForce; ///< `mRows` with `mLost` over them; empty without any
-  /// Of the era that was known before this one: the store's copy is seen to have its rows up to
-  /// here.
-  store_version mCopiedTo;
+  store_version mSnapshotReachesTo;    ///< of the snapshot that began the era, as this table shows
 
   /// Whether the table was ever read.
   bool IsKnown() const { return mCompleteTo.Value() > 0; }
@@ -74,8 +72,8 @@
 inline constexpr std::size_t kMaxRemoved = 500;
 
 /// Replaces the copy by a newer one, from the store or a peer. Returns false, and changes nothing,
-/// unless `aNewer` is complete to a higher version: a copy never goes back. A copy of a newer era
-/// may lack what the store has lost, which stays in force.
+/// unless `aNewer` is complete to a higher version: a copy never goes back. If `aNewer` is of a
+/// newer era, what the store has lost stays in force.
 bool Replace(table_copy& aCopy, table_copy aNewer, missing_rows aMissing = missing_rows::Kept);
 
 /// Applies changes that follow the copy in its era, up to `aCompleteTo`. A change that is not newer
--- a/src/rollout/shift.h
+++ b/src/rollout/shift.h
@@ -129,8 +129,7 @@
   std::optional<shift_progress> mProgress; ///< absent until an instance has written it
   time_point mStartedAt{};                 ///< on this instance's clock
   std::optional<time_point> mPassedAt;     ///< on this instance's clock
-  bool mIsUnsaved = false; ///< the store has lost the progress, which has to be written again
-  bool mIsHalted = false;  ///< the new version was found bad, whatever the store says
+  bool mIsHalted = false; ///< the new version was found bad, whatever the store says
   shift_results mOwnResults;
   std::map<std::string, shift_results> mPeerResults; ///< highest counts, by instance id and start
   load_counts mOwnLoads{};
