--- a/src/replica/lost_rows_test.cpp
+++ b/src/replica/lost_rows_test.cpp
@@ -59,6 +59,16 @@
     TakeSnapshot();
     Put(aKey, aValue);
   }
+  /// Restores a snapshot in which the row "k" is "old"; the copy has seen "new", and the drill.
+  void DrillSeenBy(table_copy& aCopy)
+  {
+    Put("k", "old");
+    ReadInto(aCopy);
+    PutAfterSnapshot("k", "new");
+    ReadInto(aCopy);
+    Restore();
+    ReadInto(aCopy);
+  }
 };
 
 /// Takes a peer's news over as they arrive: as text.
@@ -90,7 +100,7 @@
   CHECK(At(4, 2) != At(4, 1));
 }
 
-// Guards against a row that reverts to the copy's until its owner has written it again.
+// Guards against a row that reverts to the snapshot's until its owner has written it again.
 TEST_CASE("what the store has lost stays in force until it is written again")
 {
   drilled_store store;
@@ -123,7 +133,7 @@
   CHECK(InForce(copy, "removed") == "z");
 }
 
-// Guards against a new row that is taken for the copy's, as its version was given out before.
+// Guards against a new row that is taken for the snapshot's, as its version was given out before.
 TEST_CASE("a row with a version that was given out again is new")
 {
   drilled_store store;
@@ -143,7 +153,7 @@
 }
 
 // Guards against a row that stays for good though it was removed while this copy was not read.
-TEST_CASE("a row that the copy must have had, and that is gone, was removed")
+TEST_CASE("a row that the snapshot must have had, and that is gone, was removed")
 {
   drilled_store store;
   table_copy copy;
@@ -194,18 +204,13 @@
   CHECK(InForce(copy, "k") == "draining");
 }
 
-// Guards against an older copy that returns a second time, after the rows were written again.
-TEST_CASE("what was lost stays in force through two drills from the same copy")
+// Guards against a snapshot that returns a second time, after the rows were written again.
+TEST_CASE("what was lost stays in force through two drills from the same snapshot")
 {
   for (const bool isWrittenBetween : { false, true }) {
     drilled_store store;
     table_copy copy;
-    store.Put("k", "old");
-    store.ReadInto(copy);
-    store.PutAfterSnapshot("k", "new");
-    store.ReadInto(copy);
-    store.Restore();
-    store.ReadInto(copy);
+    store.DrillSeenBy(copy);
     if (isWrittenBetween) {
       store.Put("other", "x");
       store.Put("k", "new");
@@ -252,8 +257,8 @@
   CHECK(lost.mLost.empty());
 }
 
-// Guards against a new instance that serves what the copy says beside others that know better.
-TEST_CASE("a peer that has read only the copy learns what the store has lost, and that once")
+// Guards against a new instance that serves what the snapshot says beside others that know better.
+TEST_CASE("a peer that has read only the snapshot learns what the store has lost, and that once")
 {
   drilled_store store;
   table_copy witness;
@@ -310,12 +315,7 @@
 {
   drilled_store store;
   table_copy witness;
-  store.Put("k", "old");
-  store.ReadInto(witness);
-  store.PutAfterSnapshot("k", "new");
-  store.ReadInto(witness);
-  store.Restore();
-  store.ReadInto(witness);
+  store.DrillSeenBy(witness);
   const auto lostOnly = NewsFor(witness, witness.mCompleteTo);
   REQUIRE(lostOnly.has_value());
   CHECK_FALSE(IsUrgent(*lostOnly));
